--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,12 @@
+// Command standin runs a stand-in for a system outside of the project.
+package main
+
+import (
+	"os"
+
+	"github.com/turmerictide/turmerictide/standin"
+)
+
+func main() {
+	os.Exit(standin.Run(os.Args, os.Stderr))
+}
--- /dev/null
+++ b/cmd/turmerictide/main.go
@@ -0,0 +1,12 @@
+// Command turmerictide is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/turmerictide/turmerictide/pkg/command"
+)
+
+func main() {
+	os.Exit(command.RunTool(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/site/ticket.go
@@ -0,0 +1,93 @@
+package site
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// The services of every site.
+const (
+	ModelService = "cone-assistant"
+	PlainService = "booking-desk"
+	Model        = "cone-plan-1"
+)
+
+// Ticket returns a ticket that puts the whole site to work.
+func (s *Site) Ticket(number ticket.Number) ticket.Ticket {
+	t := ticket.Ticket{
+		Number:   number,
+		Services: map[string]ticket.Service{ModelService: modelService(), PlainService: plainService()},
+		Pools:    map[string]ticket.Pool{},
+		Callers: map[string]ticket.CallerGroup{"contractors": {Teams: []ticket.Team{
+			{Name: "foremen", TokenSHA256: TokenHash(CallerToken), Ranks: []string{"urgent", "standard"}},
+			{Name: "office", TokenSHA256: TokenHash(OfficeToken), Ranks: []string{"standard"}},
+		}}},
+	}
+	for _, p := range s.Endpoints {
+		s.addEndpoint(t.Pools, p)
+	}
+	return t
+}
+
+func modelService() ticket.Service {
+	return ticket.Service{
+		Name: ModelService, Kind: ticket.KindModel, Models: []string{Model},
+		Ranks: []ticket.Rank{
+			{Name: "urgent", FirstTokenTarget: ticket.Duration(2 * time.Second), TokenGapTarget: ticket.Duration(60 * time.Millisecond), Worth: 10, FloorShare: 0},
+			{Name: "standard", FirstTokenTarget: ticket.Duration(8 * time.Second), TokenGapTarget: ticket.Duration(120 * time.Millisecond), Worth: 1, FloorShare: 0.2},
+		},
+		OutputTokens: 256, KVBytesPerToken: 1000, RetryShare: 0.1,
+	}
+}
+
+func plainService() ticket.Service {
+	return ticket.Service{
+		Name: PlainService, Kind: ticket.KindPlain,
+		Ranks: []ticket.Rank{
+			{Name: "urgent", FirstTokenTarget: ticket.Duration(2 * time.Second), Worth: 10},
+			{Name: "standard", FirstTokenTarget: ticket.Duration(5 * time.Second), Worth: 1, FloorShare: 0.2},
+		},
+		RetryShare: 0.1,
+	}
+}
+
+func (s *Site) addEndpoint(pools map[string]ticket.Pool, p *Process) {
+	service := ModelService
+	if p.Role == ticket.RolePlain {
+		service = PlainService
+	}
+	name := service + "-" + string(p.Role) + "-" + p.Zone
+	pool := pools[name]
+	pool.Service, pool.AvailabilityZone, pool.Role = service, p.Zone, p.Role
+	pool.Endpoints = append(pool.Endpoints, ticket.Endpoint{
+		Name: p.Name, Address: p.Address, Places: places(p.Role), Pieces: 64,
+		TokensPerSecond: 20000, Link: "link-" + p.Zone, LinkBytesPerSecond: 1e9,
+	})
+	pools[name] = pool
+}
+
+func places(role ticket.Role) int {
+	if role == ticket.RolePrefill {
+		return 4
+	}
+	return 8
+}
+
+// WriteTicket stores a ticket as a file and returns its path.
+func (s *Site) WriteTicket(t ticket.Ticket) (string, error) {
+	content, err := json.MarshalIndent(t, "", "  ")
+	if err != nil {
+		return "", errors.Newf("encode ticket: %w", err)
+	}
+	path := filepath.Join(s.Config.Directory, "ticket.json")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return "", errors.Newf("write ticket: %w", err)
+	}
+	return path, nil
+}
--- /dev/null
+++ b/pkg/claim/keeper.go
@@ -0,0 +1,174 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/shard"
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+// The topics of this package.
+const (
+	TopicWrite  = "claim_write"
+	TopicResult = "claim_result"
+)
+
+type wireWrite struct {
+	_      struct{} `cbor:",toarray"`
+	Serial uint64
+	Key    Key
+	Expect store.Revision
+	Record Record
+}
+
+type wireResult struct {
+	_       struct{} `cbor:",toarray"`
+	Serial  uint64
+	Failed  bool
+	Written bool
+	// Current is set only when the write was refused.
+	Current  *Record
+	Revision store.Revision
+}
+
+// keeperTimeout bounds the wait for a keeper before a front commits by itself.
+const keeperTimeout = 1200 * time.Millisecond
+
+// Config holds what a Keeper needs.
+type Config struct {
+	Host string
+	Mesh *link.Mesh
+	Log  logr.Logger
+	// Hosts returns the live daemons of all zones.
+	Hosts func() []string
+}
+
+// Keeper sends writes to the keeper of their bucket, and commits those that
+// other daemons send here.
+type Keeper struct {
+	config    Config
+	committer *Committer
+	serial    atomic.Uint64
+	ctx       context.Context
+	cancel    context.CancelFunc
+
+	mu      sync.Mutex
+	waiting map[uint64]chan wireResult
+}
+
+// NewKeeper returns a Keeper that commits with committer.
+func NewKeeper(config Config, committer *Committer) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Keeper{config: config, committer: committer, ctx: ctx, cancel: cancel, waiting: map[uint64]chan wireResult{}}
+}
+
+// Close abandons the writes that this keeper makes for others.
+func (k *Keeper) Close() {
+	k.cancel()
+}
+
+// Route adds this type's handlers to a router.
+func (k *Keeper) Route(router *message.Router) {
+	router.AddConsumerHandler(TopicWrite, TopicWrite, k.config.Mesh, k.handleWrite)
+	router.AddConsumerHandler(TopicResult, TopicResult, k.config.Mesh, k.handleResult)
+}
+
+// Write makes a conditional write through the keeper of its bucket. Errors are
+// those of Committer.Submit.
+func (k *Keeper) Write(ctx context.Context, write Write) (Result, error) {
+	keeper := shard.Owner("claim/"+strconv.Itoa(write.Key.Bucket()), k.config.Hosts())
+	if keeper != "" && keeper != k.config.Host {
+		result, err := k.ask(ctx, keeper, write)
+		if err == nil {
+			return result, nil
+		}
+		k.config.Log.V(1).Info("claims keeper did not answer", "host", keeper, "error", err.Error())
+	}
+	return k.committer.Submit(ctx, write)
+}
+
+// ask sends a write to another daemon and waits for its result.
+func (k *Keeper) ask(parent context.Context, host string, write Write) (Result, error) {
+	ctx, cancel := context.WithTimeout(parent, keeperTimeout)
+	defer cancel()
+	serial := k.serial.Add(1)
+	answer := make(chan wireResult, 1)
+	k.mu.Lock()
+	k.waiting[serial] = answer
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		delete(k.waiting, serial)
+		k.mu.Unlock()
+	}()
+	k.send(host, TopicWrite, wireWrite{Serial: serial, Key: write.Key, Expect: write.Expect, Record: write.Record})
+	select {
+	case <-ctx.Done():
+		return Result{}, errors.Newf("await keeper %s: %w", host, ctx.Err())
+	case wire := <-answer:
+		if wire.Failed {
+			return Result{}, errors.Newf("keeper %s failed", host)
+		}
+		result := Result{Written: wire.Written, Current: write.Record, Revision: wire.Revision}
+		if wire.Current != nil {
+			result.Current = *wire.Current
+		}
+		return result, nil
+	}
+}
+
+func (k *Keeper) send(host, topic string, body any) {
+	payload, err := link.Encode(body)
+	if err != nil {
+		k.config.Log.Error(err, "message was not encoded", "topic", topic)
+		return
+	}
+	if err := k.config.Mesh.Publish(topic, link.NewMessage(host, payload, trace.SpanContext{})); err != nil {
+		k.config.Log.V(1).Info("message was dropped", "topic", topic, "host", host, "error", err.Error())
+	}
+}
+
+// handleWrite commits for another daemon, in the background.
+func (k *Keeper) handleWrite(m *message.Message) error {
+	var wire wireWrite
+	if err := link.Decode(m.Payload, &wire); err != nil {
+		return nil
+	}
+	host := link.Host(m)
+	go func() {
+		result, err := k.committer.Submit(k.ctx, Write{Key: wire.Key, Expect: wire.Expect, Record: wire.Record})
+		reply := wireResult{Serial: wire.Serial, Failed: err != nil, Written: result.Written, Revision: result.Revision}
+		if !result.Written {
+			reply.Current = &result.Current
+		}
+		k.send(host, TopicResult, reply)
+	}()
+	return nil
+}
+
+func (k *Keeper) handleResult(m *message.Message) error {
+	var wire wireResult
+	if err := link.Decode(m.Payload, &wire); err != nil {
+		return nil
+	}
+	k.mu.Lock()
+	answer, ok := k.waiting[wire.Serial]
+	k.mu.Unlock()
+	if ok {
+		select {
+		case answer <- wire:
+		default:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/command/daemon.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
+
+	"github.com/turmerictide/turmerictide/pkg/daemon"
+	"github.com/turmerictide/turmerictide/pkg/settings"
+	"github.com/turmerictide/turmerictide/pkg/trace"
+)
+
+// RunDaemon runs turmerictided and returns its exit code.
+func RunDaemon(arguments []string, stdout, stderr io.Writer) int {
+	program := &cli.Command{
+		Name: "turmerictided", Usage: "route requests across prefill and decode pools",
+		Version: Version,
+		Writer:  stdout, ErrWriter: stderr,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Value: "turmerictided.ini", Usage: "read settings from `FILE`"},
+			&cli.StringFlag{Name: "check-settings", Usage: "only check `FILE` and print its faults"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if path := c.String("check-settings"); path != "" {
+				return checkSettings(path, stdout)
+			}
+			return serveDaemon(ctx, c.String("settings"), stderr)
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	return exitCode(program.Run(context.Background(), arguments), stderr)
+}
+
+func checkSettings(path string, stdout io.Writer) error {
+	if _, err := settings.Load(path); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(stdout, "settings are correct")
+	return err
+}
+
+// newLog returns a logger that writes JSON lines. V(n) is shown up to verbosity.
+func newLog(stderr io.Writer, verbosity int) logr.Logger {
+	handler := slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
+	return logr.FromSlogHandler(handler)
+}
+
+// flushTimeout bounds the export of the last spans.
+const flushTimeout = 3 * time.Second
+
+func serveDaemon(ctx context.Context, path string, stderr io.Writer) error {
+	config, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log := newLog(stderr, config.Log.Verbosity).WithValues("host", config.Daemon.Host, "availability_zone", config.Daemon.AvailabilityZone)
+	flush, err := trace.Install(ctx, config.Trace, config.Daemon)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.NewDaemon(config, log, time.Now)
+	if err != nil {
+		return errors.Newf("build daemon: %w", err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	result := d.Run(ctx, signals)
+	flushContext, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	return errors.CombineErrors(result, flush(flushContext))
+}
--- /dev/null
+++ b/pkg/daemon/listener.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/operator"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// listener is an HTTP server as a supervised part.
+type listener struct {
+	name   string
+	at     netip.AddrPort
+	limit  int
+	server *http.Server
+	socket net.Listener
+	done   chan struct{}
+}
+
+func newListener(name string, at netip.AddrPort, limit int, server *http.Server) *listener {
+	return &listener{name: name, at: at, limit: limit, server: server, done: make(chan struct{})}
+}
+
+func (l *listener) open() error {
+	socket, err := net.Listen("tcp", l.at.String())
+	if err != nil {
+		return errors.Newf("open %s listener: %w", l.name, err)
+	}
+	l.socket = netutil.LimitListener(socket, l.limit)
+	return nil
+}
+
+func (l *listener) address() string {
+	return l.socket.Addr().String()
+}
+
+// Serve accepts connections until the server is shut down.
+func (l *listener) Serve(ctx context.Context) error {
+	defer close(l.done)
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	defer stop()
+	err := l.server.Serve(l.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return errors.Newf("serve %s listener: %w", l.name, err)
+}
+
+// Done is closed when Serve has returned.
+func (l *listener) Done() <-chan struct{} {
+	return l.done
+}
+
+// peerConnections bounds the connections of the peer and operator listeners.
+const peerConnections = 4096
+
+func (d *Daemon) buildListeners() {
+	limits := d.settings.Limits
+	d.caller = newListener("caller", d.settings.Listen.Caller, limits.Connections, newServer(d.front.Handler(), limits.HeaderBytes))
+	admin := operator.NewHandler(operator.Config{
+		Token: d.settings.Operator.Token, Status: d.status, State: d.follower.Current, Metrics: d.metrics,
+	})
+	d.operator = newListener("operator", d.settings.Listen.Operator, peerConnections, newServer(admin, limits.HeaderBytes))
+	d.peer = newListener("peer", d.settings.Listen.Peer, peerConnections, newServer(d.peerHandler(), limits.HeaderBytes))
+}
+
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, d.mesh)
+	mux.HandleFunc(ticket.PeerHeadPath, d.authorized(d.follower.ServePeerHead))
+	mux.HandleFunc(ticket.PeerObjectPath, d.authorized(d.follower.ServePeerObject))
+	return mux
+}
+
+// authorized admits requests that a peer has signed.
+func (d *Daemon) authorized(next http.HandlerFunc) http.HandlerFunc {
+	keys := link.Keys(d.settings.Peers.Keys)
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := keys.Verify(r, d.now()); err != nil {
+			http.Error(w, "not authorized", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []*listener{d.caller, d.operator, d.peer} {
+		if err := l.open(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/daemon/shutdown.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// drainNotice is the time between failing readiness and closing the caller
+	// listener, in which the balancer in front takes notice.
+	drainNotice = 500 * time.Millisecond
+	// closeGrace bounds the work that outlives its request.
+	closeGrace = 5 * time.Second
+)
+
+// ErrCut reports a shutdown that cut requests in flight.
+var ErrCut = errors.New("requests in flight were cut")
+
+// shutDown drains the daemon: it fails readiness, tells the other daemons that
+// it leaves, so that they own its shards, serves what is in flight to the end
+// and closes its links last. A second signal or the limit ends the wait.
+func (d *Daemon) shutDown(signals <-chan os.Signal) error {
+	d.front.SetReady(false)
+	d.members.Leave()
+	d.log.Info("daemon drains", "serving", d.front.Serving())
+	time.Sleep(drainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.ShutdownTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := d.caller.server.Shutdown(ctx)
+	cut := d.front.Serving()
+	_ = d.caller.server.Close()
+	d.front.Close(closeGrace)
+	d.canceller.Close()
+	d.keeper.Close()
+	_ = d.router.Close()
+	_ = d.mesh.Close()
+	_ = d.operator.server.Close()
+	_ = d.peer.server.Close()
+	if err != nil {
+		d.log.Error(ErrCut, "shutdown was ended early", "cut", cut)
+		return errors.Newf("%d: %w", cut, ErrCut)
+	}
+	d.log.Info("daemon has drained")
+	return nil
+}
--- /dev/null
+++ b/pkg/daemon/status.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"github.com/turmerictide/turmerictide/pkg/metric"
+	"github.com/turmerictide/turmerictide/pkg/operator"
+)
+
+// status describes this daemon for operators.
+func (d *Daemon) status() operator.Status {
+	result := operator.Status{
+		Host: d.settings.Daemon.Host, AvailabilityZone: d.settings.Daemon.AvailabilityZone,
+		Ticket: d.follower.Number(), TicketSince: d.since.get(),
+		Serving: d.front.Serving(),
+	}
+	if state := d.follower.Current(); state != nil {
+		result.TicketAttempt = state.Head.Attempt
+		result.Ready = true
+	}
+	for _, known := range d.members.Members() {
+		result.Hosts = append(result.Hosts, operator.Host{
+			Host: known.Host, AvailabilityZone: known.AvailabilityZone, Peer: known.Peer, State: known.State.String(),
+		})
+	}
+	for _, s := range d.dispatcher.Summaries() {
+		result.Shards = append(result.Shards, operator.Shard{
+			Shard: s.Key.String(), Owned: s.Owned, Queued: s.Load.Queued, Held: s.Load.Held,
+			DecodeUsed: s.Load.DecodeUsed, DecodeLimit: s.Load.DecodeLimit,
+			PiecesUsed: s.Load.PiecesUsed, PiecesLimit: s.Load.PiecesLimit,
+		})
+	}
+	traffic := d.mesh.Traffic()
+	result.Traffic = operator.Traffic{
+		SentBytes: traffic.SentBytes, ReceivedBytes: traffic.ReceivedBytes,
+		SentFrames: traffic.SentFrames, ReceivedFrames: traffic.ReceivedFrames,
+		DroppedFrames: traffic.DroppedFrames, Connections: traffic.Connections,
+	}
+	return result
+}
+
+// gauges lists the values that are read when the metrics are.
+func (d *Daemon) gauges() []metric.Gauge {
+	return []metric.Gauge{
+		{Name: "serving", Read: func() int64 { return int64(d.front.Serving()) }},
+		{Name: "ticket_number", Read: func() int64 { return int64(d.follower.Number()) }},
+		{Name: "ticket_age_seconds", Read: func() int64 { return int64(d.now().Sub(d.since.get()).Seconds()) }},
+		{Name: "members", Read: func() int64 { return int64(len(d.members.Hosts(""))) }},
+		{Name: "link_sent_bytes", Read: func() int64 { return int64(d.mesh.Traffic().SentBytes) }},
+		{Name: "link_received_bytes", Read: func() int64 { return int64(d.mesh.Traffic().ReceivedBytes) }},
+		{Name: "link_dropped_frames", Read: func() int64 { return int64(d.mesh.Traffic().DroppedFrames) }},
+		{Name: "shards_owned", Read: func() int64 { return int64(len(d.dispatcher.Summaries())) }},
+		{Name: "queued", Read: d.queued},
+		{Name: "retries_denied", Read: func() int64 { _, denied := d.front.RetryCounts(); return denied }},
+		{Name: "processor_milliseconds", Read: processorMilliseconds},
+	}
+}
+
+func (d *Daemon) queued() int64 {
+	total := int64(0)
+	for _, s := range d.dispatcher.Summaries() {
+		total += int64(s.Load.Queued)
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/dispatch/client.go
@@ -0,0 +1,360 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/shard"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+const (
+	// offerRepeat spaces repeated offers, which replace lost messages and find a
+	// new owner.
+	offerRepeat = 500 * time.Millisecond
+	// avoidTime is the time for which a host that could not be reached is passed
+	// over when an owner is looked up.
+	avoidTime = 3 * time.Second
+)
+
+// RefusedError is the final answer of a dispatcher that serves a request not.
+type RefusedError struct {
+	Refusal Refusal
+}
+
+// Error returns the cause.
+func (e *RefusedError) Error() string {
+	return "refused: " + string(e.Refusal.Cause)
+}
+
+// ErrNoShard reports a service without a shard that can be reached.
+var ErrNoShard = errors.New("no shard of the service can be reached")
+
+// ClientConfig holds what a Client needs.
+type ClientConfig struct {
+	Host             string
+	AvailabilityZone string
+	// FrontTag identifies this life of this front in request identifiers.
+	FrontTag uint32
+	Mesh     *link.Mesh
+	Now      func() time.Time
+	Log      logr.Logger
+	// Hosts returns the live daemons of a zone.
+	Hosts func(zone string) []string
+}
+
+// Client is the front's side of dispatching.
+type Client struct {
+	config ClientConfig
+	serial atomic.Uint32
+
+	mu       sync.Mutex
+	shards   map[string][]routedShard
+	pending  map[RequestID]*offer
+	live     map[RequestID]*Reservation
+	avoided  map[string]time.Time
+	pressure map[ShardID]Pressure
+}
+
+type routedShard struct {
+	id        ShardID
+	key       shard.Key
+	endpoints map[string]ticket.Endpoint
+}
+
+type offer struct {
+	request  Request
+	shard    routedShard
+	decision chan arrival
+}
+
+// arrival is a decision with the time at which its message came.
+type arrival struct {
+	decision Decision
+	at       time.Time
+}
+
+// Reservation is a grant in use. Exactly one call of Done ends it.
+type Reservation struct {
+	Grant   Grant
+	Prefill ticket.Endpoint
+	Decode  ticket.Endpoint
+	Shard   shard.Key
+	// GrantedAt is the time at which the grant's message arrived.
+	GrantedAt time.Time
+
+	client  *Client
+	request Request
+	shard   routedShard
+	stage   Stage
+}
+
+// NewClient returns a Client without shards.
+func NewClient(config ClientConfig) *Client {
+	return &Client{
+		config: config, shards: map[string][]routedShard{},
+		pending: map[RequestID]*offer{}, live: map[RequestID]*Reservation{},
+		avoided: map[string]time.Time{}, pressure: map[ShardID]Pressure{},
+	}
+}
+
+// Route adds this type's handler to a router.
+func (c *Client) Route(router *message.Router) {
+	router.AddConsumerHandler(TopicToFront, TopicToFront, c.config.Mesh, c.handle)
+}
+
+// NewRequestID returns an identifier that no other front makes.
+func (c *Client) NewRequestID() RequestID {
+	return RequestID(c.config.FrontTag)<<32 | RequestID(c.serial.Add(1))
+}
+
+// FrontTag returns the part of an identifier that names the front's life.
+func (id RequestID) FrontTag() uint32 {
+	return uint32(id >> 32)
+}
+
+// Refresh takes the state in force.
+func (c *Client) Refresh(state *ticket.State) {
+	if state == nil {
+		return
+	}
+	shards := map[string][]routedShard{}
+	for _, s := range shard.Divide(state) {
+		routed := routedShard{id: NewShardID(s.Key), key: s.Key, endpoints: map[string]ticket.Endpoint{}}
+		for _, endpoint := range s.Prefill {
+			routed.endpoints[endpoint.Name] = endpoint
+		}
+		for _, endpoint := range s.Decode {
+			routed.endpoints[endpoint.Name] = endpoint
+		}
+		shards[s.Key.Service] = append(shards[s.Key.Service], routed)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shards = shards
+}
+
+// Avoid passes over a host that could not be reached, for a time.
+func (c *Client) Avoid(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[host] = c.config.Now().Add(avoidTime)
+}
+
+// SetPressure notes what was heard of a shard.
+func (c *Client) SetPressure(id ShardID, pressure Pressure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pressure[id] = pressure
+}
+
+// owner returns the host to ask for a shard, or "".
+func (c *Client) owner(s routedShard) string {
+	now := c.config.Now()
+	var hosts []string
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, host := range c.config.Hosts(s.key.AvailabilityZone) {
+		if !now.Before(c.avoided[host]) {
+			hosts = append(hosts, host)
+		}
+	}
+	return shard.Owner(s.key.String(), hosts)
+}
+
+// pick chooses between two random shards of a zone the one under less pressure.
+func (c *Client) pick(service, zone string) (routedShard, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var local []routedShard
+	for _, s := range c.shards[service] {
+		if s.key.AvailabilityZone == zone {
+			local = append(local, s)
+		}
+	}
+	if len(local) == 0 {
+		return routedShard{}, false
+	}
+	first := local[rand.IntN(len(local))]
+	second := local[rand.IntN(len(local))]
+	if c.pressure[second.id] < c.pressure[first.id] {
+		return second, true
+	}
+	return first, true
+}
+
+// pickOther chooses the shard of another zone under the least pressure, if that
+// is less than full.
+func (c *Client) pickOther(service string) (routedShard, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best routedShard
+	found := false
+	for _, s := range c.shards[service] {
+		if s.key.AvailabilityZone == c.config.AvailabilityZone || c.pressure[s.id] >= otherZonePressure {
+			continue
+		}
+		if !found || c.pressure[s.id] < c.pressure[best.id] {
+			best, found = s, true
+		}
+	}
+	return best, found
+}
+
+// otherZonePressure is the pressure from which a shard takes no work of other zones.
+const otherZonePressure = pressureUnit / 2
+
+// Acquire waits for a decision on a request of a service. Another zone is asked
+// once when the own cannot serve. Errors are *RefusedError, ErrNoShard, or the
+// context's.
+func (c *Client) Acquire(ctx context.Context, service string, request Request) (*Reservation, error) {
+	own, ok := c.pick(service, c.config.AvailabilityZone)
+	refusal := ErrNoShard
+	if ok {
+		reservation, err := c.acquire(ctx, own, request)
+		var refused *RefusedError
+		if err == nil || !(errors.As(err, &refused) || errors.Is(err, ErrNoShard)) {
+			return reservation, err
+		}
+		refusal = err
+	}
+	other, ok := c.pickOther(service)
+	if !ok {
+		return nil, refusal
+	}
+	request.ID = c.NewRequestID()
+	reservation, err := c.acquire(ctx, other, request)
+	if err != nil && ctx.Err() == nil {
+		return nil, refusal
+	}
+	return reservation, err
+}
+
+func (c *Client) acquire(ctx context.Context, s routedShard, request Request) (*Reservation, error) {
+	o := &offer{request: request, shard: s, decision: make(chan arrival, 1)}
+	c.mu.Lock()
+	c.pending[request.ID] = o
+	c.mu.Unlock()
+	ticker := time.NewTicker(offerRepeat)
+	defer ticker.Stop()
+	for {
+		owner := c.owner(s)
+		if owner == "" {
+			c.withdraw(o)
+			return nil, errors.Newf("shard %s: %w", s.key, ErrNoShard)
+		}
+		c.publish(ctx, owner, kindOffer, s.id, encodeRequest(request, c.config.Now()))
+		select {
+		case <-ctx.Done():
+			c.withdraw(o)
+			return nil, context.Cause(ctx)
+		case arrived := <-o.decision:
+			return c.accept(o, arrived)
+		case <-ticker.C:
+		}
+	}
+}
+
+// withdraw forgets an offer and gives back a grant that crossed with it.
+func (c *Client) withdraw(o *offer) {
+	c.mu.Lock()
+	delete(c.pending, o.request.ID)
+	c.mu.Unlock()
+	c.tellDone(o.shard, o.request.ID, Outcome{})
+}
+
+func (c *Client) accept(o *offer, arrived arrival) (*Reservation, error) {
+	decision := arrived.decision
+	if !decision.IsGrant() {
+		return nil, &RefusedError{Refusal: decision.Refusal}
+	}
+	r := &Reservation{
+		Grant: decision.Grant, Shard: o.shard.key, GrantedAt: arrived.at,
+		Prefill: o.shard.endpoints[decision.Grant.Prefill],
+		Decode:  o.shard.endpoints[decision.Grant.Decode],
+		client:  c, request: o.request, shard: o.shard,
+	}
+	if !r.Decode.Address.IsValid() {
+		c.tellDone(o.shard, o.request.ID, Outcome{})
+		return nil, errors.Newf("endpoint %s is not known here yet: %w", decision.Grant.Decode, ErrNoShard)
+	}
+	c.mu.Lock()
+	c.live[o.request.ID] = r
+	c.mu.Unlock()
+	return r, nil
+}
+
+func (c *Client) publish(ctx context.Context, host string, kind wireKind, id ShardID, body any) {
+	payload, err := encodeMessage(kind, id, body)
+	if err != nil {
+		c.config.Log.Error(err, "message was not encoded")
+		return
+	}
+	msg := link.NewMessage(host, payload, trace.SpanContextFromContext(ctx))
+	if err := c.config.Mesh.Publish(TopicToOwner, msg); err != nil {
+		c.config.Log.V(1).Info("message was dropped", "host", host, "error", err.Error())
+	}
+}
+
+func (c *Client) tellDone(s routedShard, id RequestID, outcome Outcome) {
+	owner := c.owner(s)
+	if owner == "" {
+		return
+	}
+	c.publish(context.Background(), owner, kindDone, s.id, wireDone{
+		ID: id, OutputTokens: outcome.OutputTokens, FailedEndpoint: outcome.FailedEndpoint, Busy: outcome.Busy,
+	})
+}
+
+// Prefilled tells the dispatcher that the prefill is complete.
+func (r *Reservation) Prefilled() {
+	r.advance(StageTransfer)
+}
+
+// Started tells the dispatcher that the decode endpoint produces tokens.
+func (r *Reservation) Started() {
+	r.advance(StageDecode)
+}
+
+func (r *Reservation) advance(stage Stage) {
+	r.client.mu.Lock()
+	r.stage = stage
+	r.client.mu.Unlock()
+	if owner := r.client.owner(r.shard); owner != "" {
+		r.client.publish(context.Background(), owner, kindStage, r.shard.id, wireStage{ID: r.Grant.ID, Stage: stage})
+	}
+}
+
+// Done releases all that the reservation holds.
+func (r *Reservation) Done(outcome Outcome) {
+	r.client.mu.Lock()
+	_, ok := r.client.live[r.Grant.ID]
+	delete(r.client.live, r.Grant.ID)
+	r.client.mu.Unlock()
+	if ok {
+		r.client.tellDone(r.shard, r.Grant.ID, outcome)
+	}
+}
+
+// Open returns the number of reservations in use.
+func (c *Client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.live) + len(c.pending)
+}
+
+// IsStarted reports whether Started was called.
+func (r *Reservation) IsStarted() bool {
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	return r.stage == StageDecode
+}
--- /dev/null
+++ b/pkg/dispatch/client_messages.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+)
+
+func (c *Client) handle(m *message.Message) error {
+	var envelope wireMessage
+	if err := link.Decode(m.Payload, &envelope); err != nil {
+		return nil
+	}
+	switch envelope.Kind {
+	case kindGrant:
+		c.handleGrant(link.Host(m), envelope)
+	case kindRefusal:
+		c.handleRefusal(envelope.Body)
+	case kindReport:
+		c.handleReport(link.Host(m), envelope.Shard)
+	case kindAudit:
+		c.handleAudit(link.Host(m), envelope)
+	}
+	return nil
+}
+
+// handleGrant passes a grant to its offer. One that nobody waits for, because
+// its caller is gone or another owner was faster, is given back at once.
+func (c *Client) handleGrant(owner string, envelope wireMessage) {
+	var wire wireGrant
+	if err := link.Decode(envelope.Body, &wire); err != nil {
+		return
+	}
+	grant := Grant{ID: wire.ID, Front: c.config.Host, Prefill: wire.Prefill, Decode: wire.Decode, Fencing: wire.Fencing}
+	if c.decide(wire.ID, Decision{Grant: grant}) {
+		return
+	}
+	c.mu.Lock()
+	live, ok := c.live[wire.ID]
+	same := ok && live.Grant == grant
+	c.mu.Unlock()
+	if !same {
+		c.publish(context.Background(), owner, kindDone, envelope.Shard, wireDone{ID: wire.ID})
+	}
+}
+
+func (c *Client) handleRefusal(body []byte) {
+	var wire wireRefusal
+	if err := link.Decode(body, &wire); err != nil {
+		return
+	}
+	c.decide(wire.ID, Decision{Refusal: Refusal{
+		ID: wire.ID, Front: c.config.Host, Cause: wire.Cause,
+		RetryAfter: time.Duration(wire.RetryAfterMilliseconds) * time.Millisecond,
+	}})
+}
+
+// decide passes a decision to the offer that waits for it, if one does.
+func (c *Client) decide(id RequestID, decision Decision) bool {
+	c.mu.Lock()
+	o, ok := c.pending[id]
+	delete(c.pending, id)
+	c.mu.Unlock()
+	if ok {
+		o.decision <- arrival{decision: decision, at: c.config.Now()}
+	}
+	return ok
+}
+
+// handleReport tells an owner all that this front holds in a shard.
+func (c *Client) handleReport(owner string, id ShardID) {
+	now := c.config.Now()
+	reply := wireHolds{Complete: true}
+	c.mu.Lock()
+	for _, r := range c.live {
+		if r.shard.id == id {
+			reply.Holds = append(reply.Holds, r.hold(now))
+		}
+	}
+	c.mu.Unlock()
+	c.publish(context.Background(), owner, kindHolds, id, reply)
+}
+
+// hold returns the reservation as an owner adopts it. The caller holds the lock.
+func (r *Reservation) hold(now time.Time) wireHold {
+	return encodeHold(Hold{Request: r.request, Stage: r.stage, Prefill: r.Grant.Prefill, Decode: r.Grant.Decode}, now)
+}
+
+// handleAudit answers for the identifiers that this front has made: it reports
+// the holds that it has and disowns the others.
+func (c *Client) handleAudit(owner string, envelope wireMessage) {
+	var wire wireIDs
+	if err := link.Decode(envelope.Body, &wire); err != nil {
+		return
+	}
+	now := c.config.Now()
+	var held wireHolds
+	var disowned wireIDs
+	c.mu.Lock()
+	for _, id := range wire.IDs {
+		if id.FrontTag() != c.config.FrontTag {
+			continue
+		}
+		if r, ok := c.live[id]; ok {
+			held.Holds = append(held.Holds, r.hold(now))
+			continue
+		}
+		disowned.IDs = append(disowned.IDs, id)
+	}
+	c.mu.Unlock()
+	if len(held.Holds) > 0 {
+		c.publish(context.Background(), owner, kindHolds, envelope.Shard, held)
+	}
+	if len(disowned.IDs) > 0 {
+		c.publish(context.Background(), owner, kindDisown, envelope.Shard, disowned)
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/dispatch.go
@@ -0,0 +1,164 @@
+// Package dispatch decides who is served, where and when.
+//
+// The flow is: a front offers a Request to the owner of a shard. The owner's
+// Planner, a pure function of state, event and the present time, queues it by
+// rank and fairly between callers, and grants a prefill place, room on the
+// transfer link and a decode place together, or refuses it at once with the time
+// to come back. The front reports each stage as it ends, and the Planner releases
+// what that stage held. An Owner runs one Planner and exchanges messages with
+// fronts; a Client is the front's side of these messages.
+package dispatch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// RequestID identifies one attempt to run a request. A retry has a new one.
+type RequestID uint64
+
+// String returns the identifier in hexadecimal.
+func (id RequestID) String() string {
+	return strconv.FormatUint(uint64(id), 16)
+}
+
+// Prefix is a leading part of a prompt that an endpoint may have cached.
+type Prefix struct {
+	Hash   uint64
+	Tokens int
+}
+
+// Request is one attempt to run a request of a caller.
+type Request struct {
+	ID     RequestID
+	Front  string
+	Caller string
+	// Rank is the position in the service's ranks, 0 the most urgent.
+	Rank         int
+	PromptTokens int
+	// OutputTokens is the limit on tokens to generate.
+	OutputTokens int
+	// Prefixes are the leading parts of the prompt, the shortest first.
+	Prefixes []Prefix
+	Arrival  time.Time
+	// Exclude names an endpoint that has just failed this request.
+	Exclude string
+	// Suspect marks a request whose like has crashed an endpoint. An endpoint
+	// runs at most one of them, so that the next crash tells which it was.
+	Suspect bool
+}
+
+// FencingNumber orders the grants of one shard across its owners.
+type FencingNumber uint64
+
+// Grant reserves a prefill place, link room and a decode place together. A
+// plain request has only Decode.
+type Grant struct {
+	ID      RequestID
+	Front   string
+	Prefill string
+	Decode  string
+	Fencing FencingNumber
+}
+
+// Cause says why a request was refused.
+type Cause string
+
+// The causes of a refusal.
+const (
+	CauseTooLate    Cause = "targets_cannot_be_met"
+	CauseQueueFull  Cause = "queue_full"
+	CauseNoEndpoint Cause = "no_endpoint"
+	CauseTooLarge   Cause = "request_too_large"
+)
+
+// Refusal is the final answer to a request that is not served.
+type Refusal struct {
+	ID         RequestID
+	Front      string
+	Cause      Cause
+	RetryAfter time.Duration
+}
+
+// Decision is a grant or a refusal; exactly one of the two is set.
+type Decision struct {
+	Grant   Grant
+	Refusal Refusal
+}
+
+// IsGrant reports whether the decision is a grant.
+func (d Decision) IsGrant() bool {
+	return d.Refusal.Cause == ""
+}
+
+// Stage is how far a granted request has come.
+type Stage uint8
+
+// The stages of a granted request.
+const (
+	StagePrefill Stage = iota
+	StageTransfer
+	StageDecode
+)
+
+// Outcome is how a granted request ended.
+type Outcome struct {
+	// OutputTokens is the number of tokens generated.
+	OutputTokens int
+	// FailedEndpoint names the endpoint that failed, if one did.
+	FailedEndpoint string
+	// Busy is true when the endpoint refused the request because it was full.
+	Busy bool
+}
+
+// Hold is a reservation as its front reports it to a new owner.
+type Hold struct {
+	Request Request
+	Stage   Stage
+	Prefill string
+	Decode  string
+}
+
+// PieceTokens is the number of tokens in one piece of decode memory.
+const PieceTokens = 4096
+
+// Pieces returns the memory pieces for a prompt and its output.
+func Pieces(promptTokens, outputTokens int) int {
+	return (promptTokens + outputTokens + PieceTokens - 1) / PieceTokens
+}
+
+const (
+	// outputTokenWork is the work of one generated token in prompt tokens.
+	outputTokenWork = 4.0
+	// maxQueued bounds the requests that wait in one shard.
+	maxQueued = 8192
+	// maxBlockedCallers bounds the callers that are passed over in one decision
+	// because their next request does not fit.
+	maxBlockedCallers = 8
+	// prefillAhead is the work, in time, that may wait at a prefill endpoint, so
+	// that it does not fall idle between two grants.
+	prefillAhead = 60 * time.Millisecond
+	// transferLimit bounds the predicted transfer, below the time for which a
+	// prefill endpoint keeps an exported KV cache.
+	transferLimit = 600 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time to come back.
+	minRetryAfter = time.Second
+	maxRetryAfter = 60 * time.Second
+)
+
+// targets are the latency targets of a rank in the form the Planner uses.
+type targets struct {
+	firstToken time.Duration
+	gap        time.Duration
+	floor      float64
+}
+
+func targetsOf(rank ticket.Rank) targets {
+	return targets{
+		firstToken: time.Duration(rank.FirstTokenTarget),
+		gap:        time.Duration(rank.TokenGapTarget),
+		floor:      rank.FloorShare,
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/dispatcher.go
@@ -0,0 +1,406 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/shard"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+const (
+	// tickPeriod spaces the refusals of requests that wait too long.
+	tickPeriod = 20 * time.Millisecond
+	// rebuildTimeout bounds the wait for the reports of fronts after a change
+	// of owner. Fronts that answer later are adopted then.
+	rebuildTimeout = 400 * time.Millisecond
+	// pauseLimit is the time between two ticks after which the process counts as
+	// having been stopped, so that its knowledge is old.
+	pauseLimit = 1500 * time.Millisecond
+	// standInTime is the time for which a shard is kept that another daemon owns.
+	standInTime = 10 * time.Second
+	// auditPeriod spaces the questions to fronts about their older holds.
+	auditPeriod = 10 * time.Second
+)
+
+// Life is what is known of the life of a front.
+type Life uint8
+
+// The lives. Unknown ones belong to daemons that are not heard of yet.
+const (
+	LifeUnknown Life = iota
+	LifeAlive
+	LifeEnded
+)
+
+var tracer = otel.Tracer("turmerictide/dispatch")
+
+// DispatcherConfig holds what a Dispatcher needs.
+type DispatcherConfig struct {
+	Host             string
+	AvailabilityZone string
+	Mesh             *link.Mesh
+	Now              func() time.Time
+	Log              logr.Logger
+	// Hosts returns the live daemons of a zone, or all for "".
+	Hosts func(zone string) []string
+	// FrontLife tells whether the life of a front that made a request
+	// identifier goes on. The host is "" when only the identifier is known;
+	// heard is the time at which this daemon first heard of the life.
+	FrontLife func(tag uint32, host string, heard time.Time) Life
+	// CancelHold ends a hold at its endpoints and calls confirmed when they run
+	// it no more.
+	CancelHold func(hold Hold, fencing FencingNumber, confirmed func())
+	// SpreadPressure tells the other daemons of a shard's pressure.
+	SpreadPressure func(id ShardID, pressure Pressure)
+}
+
+// Dispatcher runs the Planners of the shards that this daemon owns.
+type Dispatcher struct {
+	config DispatcherConfig
+	done   chan struct{}
+
+	mu    sync.Mutex
+	all   map[ShardID]shard.Shard
+	owned map[ShardID]*ownedShard
+	// reportedLeaving and listedLeaving are endpoints that leave by their own
+	// word and by the platform's.
+	reportedLeaving map[string]bool
+	listedLeaving   map[string]bool
+	// heard is the time of the first message from each life of a front.
+	heard    map[uint32]time.Time
+	lastTick time.Time
+	// decisions is reused between events.
+	decisions []Decision
+	grants    int64
+	refusals  map[Cause]int64
+}
+
+type ownedShard struct {
+	id      ShardID
+	shard   shard.Shard
+	planner *Planner
+	// rebuildUntil is the time until which nothing is granted unless all fronts
+	// have reported; awaited are those that have not.
+	rebuildUntil time.Time
+	awaited      map[string]bool
+	offers       []Request
+	// standInUntil is set while another daemon is the owner.
+	standInUntil time.Time
+	lastAudit    time.Time
+	lastPressure Pressure
+	pressureAt   time.Time
+	orphans      map[RequestID]time.Time
+}
+
+// NewDispatcher returns a Dispatcher that owns nothing yet.
+func NewDispatcher(config DispatcherConfig) *Dispatcher {
+	return &Dispatcher{
+		config: config, done: make(chan struct{}),
+		all: map[ShardID]shard.Shard{}, owned: map[ShardID]*ownedShard{},
+		reportedLeaving: map[string]bool{}, listedLeaving: map[string]bool{},
+		heard: map[uint32]time.Time{}, refusals: map[Cause]int64{},
+	}
+}
+
+// Done is closed when Serve has returned.
+func (d *Dispatcher) Done() <-chan struct{} {
+	return d.done
+}
+
+// Route adds this type's handler to a router.
+func (d *Dispatcher) Route(router *message.Router) {
+	router.AddConsumerHandler(TopicToOwner, TopicToOwner, d.config.Mesh, d.handle)
+}
+
+// Serve advances the Planners until ctx ends.
+func (d *Dispatcher) Serve(ctx context.Context) error {
+	defer close(d.done)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.tick(d.config.Now())
+		}
+	}
+}
+
+// Refresh takes the state in force and the present membership: it takes over
+// shards that this daemon owns now and gives up those it does not.
+func (d *Dispatcher) Refresh(state *ticket.State) {
+	if state == nil {
+		return
+	}
+	now := d.config.Now()
+	hosts := d.config.Hosts(d.config.AvailabilityZone)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all = map[ShardID]shard.Shard{}
+	for _, s := range shard.Divide(state) {
+		if s.Key.AvailabilityZone != d.config.AvailabilityZone {
+			continue
+		}
+		id := NewShardID(s.Key)
+		d.all[id] = s
+		if shard.Owner(s.Key.String(), hosts) == d.config.Host {
+			d.own(now, id).standInUntil = time.Time{}
+		}
+	}
+	for id, o := range d.owned {
+		d.refreshShard(now, id, o, hosts)
+	}
+}
+
+// refreshShard updates one owned shard. The caller holds the lock.
+func (d *Dispatcher) refreshShard(now time.Time, id ShardID, o *ownedShard, hosts []string) {
+	s, ok := d.all[id]
+	if !ok {
+		delete(d.owned, id)
+		return
+	}
+	o.shard = s
+	o.planner.SetEndpoints(d.markLeaving(s))
+	isOwner := shard.Owner(s.Key.String(), hosts) == d.config.Host
+	if !isOwner && o.standInUntil.IsZero() {
+		o.standInUntil = now.Add(standInTime)
+	}
+	d.loseFronts(o)
+	d.send(o, o.planner.Tick(now, d.decisions[:0]))
+}
+
+// markLeaving adds what is known of leaving endpoints beside the ticket.
+func (d *Dispatcher) markLeaving(s shard.Shard) shard.Shard {
+	mark := func(endpoints []ticket.Endpoint) []ticket.Endpoint {
+		result := append([]ticket.Endpoint(nil), endpoints...)
+		for i := range result {
+			name := result[i].Name
+			result[i].Leaving = result[i].Leaving || d.reportedLeaving[name] || d.listedLeaving[name]
+		}
+		return result
+	}
+	s.Prefill = mark(s.Prefill)
+	s.Decode = mark(s.Decode)
+	return s
+}
+
+// SetReportedLeaving notes what an endpoint says of itself.
+func (d *Dispatcher) SetReportedLeaving(endpoint string, leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reportedLeaving[endpoint] == leaving {
+		return
+	}
+	d.reportedLeaving[endpoint] = leaving
+	d.applyLeaving()
+}
+
+// SetListedLeaving replaces the endpoints that the platform's list of hosts
+// shows as leaving.
+func (d *Dispatcher) SetListedLeaving(endpoints []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listedLeaving = map[string]bool{}
+	for _, endpoint := range endpoints {
+		d.listedLeaving[endpoint] = true
+	}
+	d.applyLeaving()
+}
+
+// applyLeaving updates all owned shards. The caller holds the lock.
+func (d *Dispatcher) applyLeaving() {
+	for _, o := range d.owned {
+		o.planner.SetEndpoints(d.markLeaving(o.shard))
+	}
+}
+
+// fencingShift leaves room for the grants of one epoch of an owner.
+const fencingShift = 20
+
+// own returns the shard, taking it over first if needed. The caller holds the lock.
+func (d *Dispatcher) own(now time.Time, id ShardID) *ownedShard {
+	if o, ok := d.owned[id]; ok {
+		return o
+	}
+	s := d.all[id]
+	epoch := FencingNumber(now.UnixMilli()) << fencingShift
+	o := &ownedShard{id: id, shard: s, planner: NewPlanner(s.Service, epoch), orphans: map[RequestID]time.Time{}}
+	o.planner.SetEndpoints(d.markLeaving(s))
+	d.owned[id] = o
+	d.rebuild(now, o)
+	return o
+}
+
+// rebuild asks all fronts for what they hold in a shard. The caller holds the lock.
+func (d *Dispatcher) rebuild(now time.Time, o *ownedShard) {
+	o.rebuildUntil = now.Add(rebuildTimeout)
+	o.awaited = map[string]bool{}
+	o.lastAudit = now
+	for _, host := range d.config.Hosts("") {
+		o.awaited[host] = true
+		d.publish(host, kindReport, o.id, wireIDs{})
+	}
+}
+
+func (o *ownedShard) isRebuilding(now time.Time) bool {
+	return len(o.awaited) > 0 && now.Before(o.rebuildUntil)
+}
+
+func (d *Dispatcher) publish(host string, kind wireKind, id ShardID, body any) {
+	payload, err := encodeMessage(kind, id, body)
+	if err != nil {
+		d.config.Log.Error(err, "message was not encoded")
+		return
+	}
+	if err := d.config.Mesh.Publish(TopicToFront, link.NewMessage(host, payload, trace.SpanContext{})); err != nil {
+		d.config.Log.V(1).Info("message was dropped", "host", host, "error", err.Error())
+	}
+}
+
+// send tells fronts of decisions. The caller holds the lock.
+func (d *Dispatcher) send(o *ownedShard, decisions []Decision) {
+	d.decisions = decisions
+	for _, decision := range decisions {
+		if decision.IsGrant() {
+			g := decision.Grant
+			d.grants++
+			d.publish(g.Front, kindGrant, o.id, wireGrant{ID: g.ID, Prefill: g.Prefill, Decode: g.Decode, Fencing: g.Fencing})
+			continue
+		}
+		r := decision.Refusal
+		d.refusals[r.Cause]++
+		d.publish(r.Front, kindRefusal, o.id, wireRefusal{ID: r.ID, Cause: r.Cause, RetryAfterMilliseconds: r.RetryAfter.Milliseconds()})
+	}
+}
+
+func (d *Dispatcher) handle(m *message.Message) error {
+	var envelope wireMessage
+	if err := link.Decode(m.Payload, &envelope); err != nil {
+		return nil
+	}
+	now := d.config.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.all[envelope.Shard]; !ok {
+		return nil
+	}
+	o := d.own(now, envelope.Shard)
+	switch envelope.Kind {
+	case kindOffer:
+		d.handleOffer(now, o, m, envelope.Body)
+	case kindStage:
+		d.handleStage(now, o, envelope.Body)
+	case kindDone:
+		d.handleDone(now, o, envelope.Body)
+	case kindHolds:
+		d.handleHolds(now, o, link.Host(m), envelope.Body)
+	case kindDisown:
+		d.handleDisown(now, o, envelope.Body)
+	}
+	return nil
+}
+
+func (d *Dispatcher) handleOffer(now time.Time, o *ownedShard, m *message.Message, body []byte) {
+	var wire wireRequest
+	if err := link.Decode(body, &wire); err != nil {
+		return
+	}
+	request := decodeRequest(wire, link.Host(m), now)
+	d.hear(now, request.ID)
+	_, span := tracer.Start(trace.ContextWithRemoteSpanContext(context.Background(), link.Span(m)), "dispatch offer",
+		trace.WithAttributes(attribute.String("shard", o.shard.Key.String()), attribute.String("request_id", request.ID.String())))
+	defer span.End()
+	if !o.standInUntil.IsZero() {
+		o.standInUntil = now.Add(standInTime)
+	}
+	if o.isRebuilding(now) {
+		o.offers = append(o.offers, request)
+		return
+	}
+	d.send(o, o.planner.Offer(now, request, d.decisions[:0]))
+}
+
+func (d *Dispatcher) handleStage(now time.Time, o *ownedShard, body []byte) {
+	var wire wireStage
+	if err := link.Decode(body, &wire); err != nil {
+		return
+	}
+	if wire.Stage == StageTransfer {
+		d.send(o, o.planner.Prefilled(now, wire.ID, d.decisions[:0]))
+		return
+	}
+	d.send(o, o.planner.Started(now, wire.ID, d.decisions[:0]))
+}
+
+func (d *Dispatcher) handleDone(now time.Time, o *ownedShard, body []byte) {
+	var wire wireDone
+	if err := link.Decode(body, &wire); err != nil {
+		return
+	}
+	o.dropOffer(wire.ID)
+	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: wire.Busy}
+	d.send(o, o.planner.Done(now, wire.ID, outcome, d.decisions[:0]))
+}
+
+// maxHeard bounds the lives of fronts that are remembered.
+const maxHeard = 8192
+
+// hear notes the first message from a life of a front. The caller holds the lock.
+func (d *Dispatcher) hear(now time.Time, id RequestID) {
+	tag := id.FrontTag()
+	if _, ok := d.heard[tag]; ok {
+		return
+	}
+	if len(d.heard) >= maxHeard {
+		d.heard = map[uint32]time.Time{}
+	}
+	d.heard[tag] = now
+}
+
+// dropOffer removes a request that was withdrawn while the shard is rebuilt.
+func (o *ownedShard) dropOffer(id RequestID) {
+	kept := o.offers[:0]
+	for _, request := range o.offers {
+		if request.ID != id {
+			kept = append(kept, request)
+		}
+	}
+	o.offers = kept
+}
+
+func (d *Dispatcher) handleHolds(now time.Time, o *ownedShard, front string, body []byte) {
+	var wire wireHolds
+	if err := link.Decode(body, &wire); err != nil {
+		return
+	}
+	for _, hold := range wire.Holds {
+		d.hear(now, hold.Request.ID)
+		o.planner.Adopt(now, decodeHold(hold, front, now))
+	}
+	if wire.Complete {
+		delete(o.awaited, front)
+	}
+	d.finishRebuild(now, o)
+}
+
+// finishRebuild offers what waited for the rebuild. The caller holds the lock.
+func (d *Dispatcher) finishRebuild(now time.Time, o *ownedShard) {
+	if o.isRebuilding(now) || len(o.offers) == 0 {
+		return
+	}
+	offers := o.offers
+	o.offers = nil
+	for _, request := range offers {
+		d.send(o, o.planner.Offer(now, request, d.decisions[:0]))
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/shard"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// orphanGrace is the time for which an endpoint may run a request that no hold
+// accounts for, before the request is cancelled.
+const orphanGrace = 3 * time.Second
+
+// tick advances all owned shards.
+func (d *Dispatcher) tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	paused := !d.lastTick.IsZero() && now.Sub(d.lastTick) > pauseLimit
+	d.lastTick = now
+	for id, o := range d.owned {
+		if paused {
+			d.config.Log.Info("process was paused, shard is rebuilt", "shard", o.shard.Key.String())
+			d.rebuild(now, o)
+		}
+		if !o.standInUntil.IsZero() && now.After(o.standInUntil) {
+			delete(d.owned, id)
+			continue
+		}
+		d.finishRebuild(now, o)
+		if deadline, ok := o.planner.NextDeadline(); ok && !deadline.After(now) {
+			d.send(o, o.planner.Tick(now, d.decisions[:0]))
+		}
+		d.audit(now, o)
+		d.tellPressure(now, o)
+	}
+}
+
+// audit asks fronts whether they still hold what was granted long ago, because
+// the message that ended a hold may have been lost. The caller holds the lock.
+func (d *Dispatcher) audit(now time.Time, o *ownedShard) {
+	if now.Sub(o.lastAudit) < auditPeriod {
+		return
+	}
+	o.lastAudit = now
+	d.send(o, o.planner.Tick(now, d.decisions[:0]))
+	questions := map[string][]RequestID{}
+	for _, hold := range o.planner.HeldBefore(now.Add(-auditPeriod)) {
+		questions[hold.Request.Front] = append(questions[hold.Request.Front], hold.Request.ID)
+	}
+	for front, ids := range questions {
+		d.publish(front, kindAudit, o.id, wireIDs{IDs: ids})
+	}
+}
+
+const (
+	// pressurePeriod spaces the rumours about one shard.
+	pressurePeriod = time.Second
+	// pressureStep is the least change that is told.
+	pressureStep = 8
+)
+
+func (d *Dispatcher) tellPressure(now time.Time, o *ownedShard) {
+	if now.Sub(o.pressureAt) < pressurePeriod {
+		return
+	}
+	o.pressureAt = now
+	pressure := o.planner.Pressure(now)
+	change := int(pressure) - int(o.lastPressure)
+	if change < pressureStep && change > -pressureStep {
+		return
+	}
+	o.lastPressure = pressure
+	d.config.SpreadPressure(o.id, pressure)
+}
+
+// loseFronts cancels what fronts held that are gone. The caller holds the lock.
+func (d *Dispatcher) loseFronts(o *ownedShard) {
+	lost := o.planner.LoseRequests(func(r Request) bool {
+		return d.config.FrontLife(r.ID.FrontTag(), r.Front, d.heard[r.ID.FrontTag()]) == LifeEnded
+	})
+	for _, hold := range lost {
+		d.cancelHold(o, hold)
+	}
+}
+
+func (d *Dispatcher) cancelHold(o *ownedShard, hold Hold) {
+	id := hold.Request.ID
+	d.config.CancelHold(hold, o.planner.fencing, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.send(o, o.planner.Done(d.config.Now(), id, Outcome{}, d.decisions[:0]))
+	})
+}
+
+// handleDisown ends holds that their front does not have.
+func (d *Dispatcher) handleDisown(now time.Time, o *ownedShard, body []byte) {
+	var wire wireIDs
+	if err := link.Decode(body, &wire); err != nil {
+		return
+	}
+	for _, id := range wire.IDs {
+		if o.planner.Holds(id) {
+			d.send(o, o.planner.Done(now, id, Outcome{}, d.decisions[:0]))
+		}
+		if _, ok := o.orphans[id]; ok {
+			o.orphans[id] = time.Time{}
+		}
+	}
+}
+
+// Observe takes the requests that an endpoint says it runs. Those that no hold
+// accounts for are cancelled after a grace, but only when the front that made
+// them is gone or has disowned them.
+func (d *Dispatcher) Observe(key shard.Key, endpoint string, running []string) {
+	now := d.config.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o, ok := d.owned[NewShardID(key)]
+	if !ok || o.isRebuilding(now) {
+		return
+	}
+	for _, text := range running {
+		number, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			continue
+		}
+		d.observeRunning(now, o, endpoint, RequestID(number))
+	}
+	for id, since := range o.orphans {
+		if !since.IsZero() && now.Sub(since) > 2*unknownGrace {
+			delete(o.orphans, id)
+		}
+	}
+}
+
+// observeRunning judges one running request. A zero time in orphans marks one
+// that its front has disowned.
+func (d *Dispatcher) observeRunning(now time.Time, o *ownedShard, endpoint string, id RequestID) {
+	if o.planner.knows(id) {
+		delete(o.orphans, id)
+		return
+	}
+	since, ok := o.orphans[id]
+	if !ok {
+		o.orphans[id] = now
+		return
+	}
+	if !since.IsZero() && now.Sub(since) < orphanGrace {
+		return
+	}
+	if !since.IsZero() && !d.isUnclaimed(now, id, since) {
+		d.askFront(o, id)
+		return
+	}
+	d.config.Log.Info("request without a front is cancelled", "request_id", id.String(), "endpoint", endpoint)
+	delete(o.orphans, id)
+	d.config.CancelHold(Hold{Request: Request{ID: id}, Decode: endpoint}, o.planner.fencing, func() {})
+}
+
+// unknownGrace is the time after which a request is cancelled whose front
+// nobody knows and nobody claims.
+const unknownGrace = 4 * orphanGrace
+
+// isUnclaimed reports whether no front that lives can hold a request.
+func (d *Dispatcher) isUnclaimed(now time.Time, id RequestID, since time.Time) bool {
+	switch d.config.FrontLife(id.FrontTag(), "", time.Time{}) {
+	case LifeEnded:
+		return true
+	case LifeAlive:
+		return false
+	default:
+		return now.Sub(since) >= unknownGrace
+	}
+}
+
+// askFront asks every front whether it holds a request; only its own front
+// answers with the hold or disowns it.
+func (d *Dispatcher) askFront(o *ownedShard, id RequestID) {
+	for _, host := range d.config.Hosts("") {
+		d.publish(host, kindAudit, o.id, wireIDs{IDs: []RequestID{id}})
+	}
+}
+
+// Summary is a shard as this daemon sees it.
+type Summary struct {
+	Key        shard.Key
+	Owned      bool
+	Rebuilding bool
+	Load       Load
+	Prefill    []ticket.Endpoint
+	Decode     []ticket.Endpoint
+}
+
+// Summaries returns the shards that this daemon owns.
+func (d *Dispatcher) Summaries() []Summary {
+	now := d.config.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var result []Summary
+	for _, o := range d.owned {
+		marked := d.markLeaving(o.shard)
+		result = append(result, Summary{
+			Key: o.shard.Key, Owned: o.standInUntil.IsZero(), Rebuilding: o.isRebuilding(now),
+			Load: o.planner.Load(), Prefill: marked.Prefill, Decode: marked.Decode,
+		})
+	}
+	return result
+}
--- /dev/null
+++ b/pkg/dispatch/estimate.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// meanWeight is the weight of one new sample in a moving mean.
+	meanWeight = 0.1
+	// rateWindow is the time constant of an arrival rate.
+	rateWindow = 5 * time.Second
+)
+
+// mean is an exponentially weighted moving mean. The zero value has no samples.
+type mean struct {
+	value   float64
+	samples int
+}
+
+func (m *mean) add(sample float64) {
+	m.samples++
+	weight := max(meanWeight, 1/float64(m.samples))
+	m.value += weight * (sample - m.value)
+}
+
+// or returns the mean, or fallback before the first sample.
+func (m *mean) or(fallback float64) float64 {
+	if m.samples == 0 {
+		return fallback
+	}
+	return m.value
+}
+
+// rate is an exponentially decaying count of events per second.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *rate) add(now time.Time) {
+	r.perSecond = r.value(now) + 1/rateWindow.Seconds()
+	r.at = now
+}
+
+func (r *rate) value(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
+}
+
+// throughput returns the requests a second that the shard can complete, from
+// its places and the measured mean time for which a request holds one.
+func (p *Planner) throughput() float64 {
+	if p.holdTime.samples == 0 {
+		return math.Inf(1)
+	}
+	decode := float64(p.decodeLimit()) / p.holdTime.value
+	if p.prefillRate() == 0 || p.promptWork.samples == 0 {
+		return decode
+	}
+	return min(decode, p.prefillRate()/max(p.promptWork.value, 1))
+}
+
+// predictWait returns the time for which one more request of a rank would wait.
+func (p *Planner) predictWait(now time.Time, request Request) time.Duration {
+	queue := p.queues.ranks[request.Rank]
+	ahead := p.queues.moreUrgentWaiting(request.Rank) + queue.fair.ahead(request.Caller)
+	if ahead == 0 && p.freeDecode > p.headroomFor(now, request.Rank) {
+		return 0
+	}
+	total := p.throughput()
+	if math.IsInf(total, 1) {
+		return 0
+	}
+	urgent := 0.0
+	for _, r := range p.queues.ranks[:request.Rank] {
+		urgent += r.arrivals.value(now)
+	}
+	available := max(total-urgent, total*queue.targets.floor, total*leastShare)
+	return time.Duration(float64(ahead) / available * float64(time.Second))
+}
+
+// leastShare keeps the predicted wait of a rank without a floor finite.
+const leastShare = 0.01
+
+// retryAfter returns when a refused caller is to come back. Requests refused
+// together come back spread over a quarter more than the wait.
+func (p *Planner) retryAfter(now time.Time, request Request) time.Duration {
+	wait := min(max(p.predictWait(now, request), minRetryAfter), maxRetryAfter)
+	spread := float64(uint64(request.ID)*0x9e3779b97f4a7c15>>40) / (1 << 24)
+	return wait + time.Duration(float64(wait)*spread/4)
+}
+
+const (
+	// headroomMiss is the accepted probability that an urgent request finds no
+	// free decode place.
+	headroomMiss = 0.01
+	// headroomShare bounds the part of decode places that is kept free.
+	headroomShare = 0.1
+)
+
+// headroomFor returns the decode places that a rank leaves free for more urgent
+// ones. With urgent arrivals at rate a and places becoming free at rate f, the
+// urgent backlog exceeds n places with probability (a/f)^(n+1), as in a single
+// server queue; this is trunk reservation as known from telephone networks.
+func (p *Planner) headroomFor(now time.Time, rank int) int {
+	if rank == 0 || p.holdTime.samples == 0 {
+		return 0
+	}
+	urgent := 0.0
+	for _, r := range p.queues.ranks[:rank] {
+		urgent += r.arrivals.value(now)
+	}
+	load := urgent / p.throughput()
+	if load <= 0 {
+		return 0
+	}
+	most := int(headroomShare * float64(p.decodeLimit()))
+	if load >= 1 {
+		return most
+	}
+	need := math.Ceil(math.Log(headroomMiss)/math.Log(load)) - 1
+	return min(int(max(need, 0)), most)
+}
--- /dev/null
+++ b/pkg/dispatch/placement.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// placement is a choice of endpoints with its predicted times.
+type placement struct {
+	prefill *prefillEndpoint
+	decode  *decodeEndpoint
+	// tokens is the prompt without what the prefill endpoint has cached.
+	tokens float64
+	bytes  float64
+	// firstToken is the predicted time from now to the first token.
+	firstToken time.Duration
+}
+
+// schedule refuses what is too late and grants until nothing more fits.
+func (p *Planner) schedule(now time.Time, decisions []Decision) []Decision {
+	for {
+		w, ok := p.queues.expired(now)
+		if !ok {
+			break
+		}
+		p.clearSaved(w)
+		decisions = append(decisions, p.refuse(now, w.request, CauseTooLate))
+	}
+	p.countFree(now)
+	for p.freeDecode > 0 && len(p.queues.queued) > 0 {
+		decision, ok := p.grantNext(now)
+		if !ok {
+			break
+		}
+		decisions = append(decisions, decision)
+	}
+	return decisions
+}
+
+// grantNext decides on one request: the first, in the order of ranks and
+// callers, that fits.
+func (p *Planner) grantNext(now time.Time) (Decision, bool) {
+	for _, rank := range p.queues.ordered() {
+		if !p.queues.isOwed(rank) && p.freeDecode <= p.headroomFor(now, rank) {
+			continue
+		}
+		if decision, ok := p.grantRank(now, rank); ok {
+			return decision, true
+		}
+	}
+	return Decision{}, false
+}
+
+// grantRank tries the callers of a rank in their order. Callers whose next
+// request does not fit are passed over, a bounded number of them.
+func (p *Planner) grantRank(now time.Time, rank int) (Decision, bool) {
+	fair := p.queues.ranks[rank].fair
+	p.blocked = p.blocked[:0]
+	var decision Decision
+	decided := false
+	for len(fair.active) > 0 && len(p.blocked) < maxBlockedCallers {
+		c := fair.active[0]
+		if decision, decided = p.tryCaller(now, rank, c); decided {
+			break
+		}
+		p.blocked = append(p.blocked, heap.Pop(&fair.active).(*callerQueue))
+	}
+	for _, c := range p.blocked {
+		heap.Push(&fair.active, c)
+	}
+	return decision, decided
+}
+
+// tryCaller grants or refuses the next request of a caller if it fits now.
+func (p *Planner) tryCaller(now time.Time, rank int, c *callerQueue) (Decision, bool) {
+	w := c.entries[0]
+	choice, ok := p.place(now, w)
+	if !ok {
+		p.noteBlocked(now, w)
+		return Decision{}, false
+	}
+	target := p.queues.ranks[rank].targets.firstToken
+	if now.Add(choice.firstToken).After(w.request.Arrival.Add(target)) {
+		p.queues.remove(w.request.ID)
+		p.clearSaved(w)
+		return p.refuse(now, w.request, CauseTooLate), true
+	}
+	return p.grant(now, rank, c, choice), true
+}
+
+func (p *Planner) grant(now time.Time, rank int, c *callerQueue, choice placement) Decision {
+	expected := c.entries[0].request
+	output := min(p.queues.ranks[rank].output.or(float64(expected.OutputTokens)), float64(expected.OutputTokens))
+	work := max(choice.tokens+outputTokenWork*output, 1)
+	w := p.queues.take(rank, c, work)
+	p.clearSaved(w)
+	h := &hold{
+		request: w.request, prefill: choice.prefill, decode: choice.decode,
+		prefillTokens: choice.tokens, bytes: choice.bytes,
+		pieces: Pieces(w.request.PromptTokens, w.request.OutputTokens),
+		work:   work, grantedAt: now, decodeAt: now,
+	}
+	result := Grant{ID: w.request.ID, Front: w.request.Front, Decode: choice.decode.endpoint.Name}
+	if choice.prefill == nil {
+		h.stage = StageDecode
+	} else {
+		result.Prefill = choice.prefill.endpoint.Name
+	}
+	p.reserve(now, h)
+	p.freeDecode--
+	p.fencing++
+	result.Fencing = p.fencing
+	return Decision{Grant: result}
+}
+
+// place chooses a prefill endpoint, a link with room and a decode endpoint
+// together, or reports that the request does not fit now.
+func (p *Planner) place(now time.Time, w *waiting) (placement, bool) {
+	decode := p.chooseDecode(now, w)
+	if decode == nil {
+		return placement{}, false
+	}
+	if p.service.Kind == ticket.KindPlain {
+		return placement{decode: decode}, true
+	}
+	return p.choosePrefill(now, w, decode)
+}
+
+// chooseDecode returns the open endpoint with the largest free part of its
+// places that has the memory, or nil.
+func (p *Planner) chooseDecode(now time.Time, w *waiting) *decodeEndpoint {
+	pieces := Pieces(w.request.PromptTokens, w.request.OutputTokens)
+	var best *decodeEndpoint
+	bestShare := 0.0
+	for _, e := range p.decode {
+		barred := (e.savedFor != nil && e.savedFor != w) || (w.request.Suspect && e.suspects > 0)
+		if barred || e.free() <= 0 || !e.isOpen(now) || !e.fits(pieces) || e.endpoint.Name == w.request.Exclude {
+			continue
+		}
+		share := float64(e.free()) / float64(e.endpoint.Places)
+		if best == nil || share > bestShare {
+			best, bestShare = e, share
+		}
+	}
+	return best
+}
+
+// choosePrefill completes a placement with the prefill endpoint that is
+// predicted to finish first, counting the prefill that its cache saves.
+func (p *Planner) choosePrefill(now time.Time, w *waiting, decode *decodeEndpoint) (placement, bool) {
+	request := w.request
+	bytes := float64(request.PromptTokens) * float64(p.service.KVBytesPerToken)
+	var best placement
+	for _, e := range p.prefill {
+		barred := e.endpoint.Name == request.Exclude || (request.Suspect && e.suspects > 0)
+		if barred || !e.isOpen(now) || !p.mayQueueAt(now, e, request.Rank) {
+			continue
+		}
+		transfer := max(e.link.transferTime(bytes), decode.link.transferTime(bytes))
+		if transfer > transferLimit && bytes > 0 && !isLinkIdle(e.link, decode.link) {
+			continue
+		}
+		tokens := float64(max(request.PromptTokens-e.prefixes.saved(request.Prefixes), 1))
+		finish := e.backlog(now, request.Rank) + time.Duration(tokens/e.tokensPerSecond()*float64(time.Second))
+		firstToken := finish + transfer + p.queues.ranks[request.Rank].targets.gap
+		if best.prefill == nil || firstToken < best.firstToken {
+			best = placement{prefill: e, decode: decode, tokens: tokens, bytes: bytes, firstToken: firstToken}
+		}
+	}
+	return best, best.prefill != nil
+}
+
+// isLinkIdle reports whether both links carry nothing, so that a transfer which
+// is slow in any case may begin.
+func isLinkIdle(links ...*linkState) bool {
+	for _, link := range links {
+		if link != nil && link.outstanding > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// mayQueueAt reports whether a rank may add to what waits at a prefill
+// endpoint. Less urgent ranks leave a place for the most urgent one, which the
+// endpoint serves first.
+func (p *Planner) mayQueueAt(now time.Time, e *prefillEndpoint, rank int) bool {
+	if e.outstanding == 0 {
+		return true
+	}
+	if rank > 0 && e.outstanding >= e.endpoint.Places-1 {
+		return false
+	}
+	return e.backlog(now, rank) <= prefillAhead
+}
+
+// noteBlocked keeps a decode endpoint for a request that has waited a quarter
+// of its target for enough memory pieces, so that small requests do not pass it
+// for ever.
+func (p *Planner) noteBlocked(now time.Time, w *waiting) {
+	if w.blockedSince.IsZero() {
+		w.blockedSince = now
+	}
+	patience := p.queues.ranks[w.request.Rank].targets.firstToken / 4
+	pieces := Pieces(w.request.PromptTokens, w.request.OutputTokens)
+	if pieces <= 1 || now.Sub(w.blockedSince) < patience {
+		return
+	}
+	var best *decodeEndpoint
+	for _, e := range p.decode {
+		if e.savedFor == w || (e.isOpen(now) && e.savedFor == nil && e.fits(pieces)) {
+			return
+		}
+		if !e.isOpen(now) || e.savedFor != nil || pieces > e.endpoint.Pieces {
+			continue
+		}
+		if best == nil || e.endpoint.Pieces-e.pieces > best.endpoint.Pieces-best.pieces {
+			best = e
+		}
+	}
+	if best != nil {
+		best.savedFor = w
+	}
+}
+
+// clearSaved gives back an endpoint that was kept for a request.
+func (p *Planner) clearSaved(w *waiting) {
+	for _, e := range p.decode {
+		if e.savedFor == w {
+			e.savedFor = nil
+		}
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/queue_rank.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+)
+
+// rankQueue holds the waiting requests of one rank.
+type rankQueue struct {
+	targets targets
+	fair    *fairQueue
+	// credit is the work that the rank may still claim for its floor. It grows
+	// only while the rank and a more urgent one both wait.
+	credit float64
+	// arrivals is the rate of offered requests.
+	arrivals rate
+	// output is the mean number of generated tokens.
+	output mean
+}
+
+// rankQueues orders requests by rank: the most urgent first, except that a rank
+// which is owed work for its floor goes before. What a rank does not use of its
+// floor goes to the others at once, since credit does not grow while it is idle.
+type rankQueues struct {
+	ranks     []*rankQueue
+	deadlines deadlineHeap
+	queued    map[RequestID]*waiting
+	order     []int
+}
+
+func newRankQueues(all []targets) *rankQueues {
+	q := &rankQueues{queued: map[RequestID]*waiting{}}
+	for _, t := range all {
+		q.ranks = append(q.ranks, &rankQueue{targets: t, fair: newFairQueue()})
+	}
+	return q
+}
+
+func (q *rankQueues) push(w *waiting) {
+	q.ranks[w.request.Rank].fair.push(w)
+	q.queued[w.request.ID] = w
+	heap.Push(&q.deadlines, w)
+}
+
+// remove takes a request out and reports whether it was queued.
+func (q *rankQueues) remove(id RequestID) bool {
+	w, ok := q.queued[id]
+	if !ok {
+		return false
+	}
+	q.ranks[w.request.Rank].fair.remove(w)
+	q.forget(w)
+	return true
+}
+
+func (q *rankQueues) forget(w *waiting) {
+	delete(q.queued, w.request.ID)
+	if w.deadlineIndex >= 0 {
+		heap.Remove(&q.deadlines, w.deadlineIndex)
+	}
+}
+
+// take removes the first request of a caller for a grant of the given work.
+func (q *rankQueues) take(rank int, c *callerQueue, work float64) *waiting {
+	q.settleCredits(rank, work)
+	w := q.ranks[rank].fair.take(c, work)
+	q.forget(w)
+	return w
+}
+
+// settleCredits shares out granted work among the ranks that are kept waiting.
+func (q *rankQueues) settleCredits(granted int, work float64) {
+	urgentWaits := false
+	for i, r := range q.ranks {
+		if !urgentWaits || r.fair.length == 0 {
+			r.credit = 0
+		} else {
+			r.credit += r.targets.floor * work
+			if i == granted {
+				r.credit -= work
+			}
+		}
+		urgentWaits = urgentWaits || r.fair.length > 0
+	}
+}
+
+// isOwed reports whether a rank goes before more urgent ones for its floor.
+func (q *rankQueues) isOwed(rank int) bool {
+	r := q.ranks[rank]
+	return r.fair.length > 0 && r.credit > 0
+}
+
+// ordered returns the ranks with waiting requests in the order to try them.
+func (q *rankQueues) ordered() []int {
+	q.order = q.order[:0]
+	for i := range q.ranks {
+		if q.isOwed(i) {
+			q.order = append(q.order, i)
+		}
+	}
+	for i, r := range q.ranks {
+		if r.fair.length > 0 && !q.isOwed(i) {
+			q.order = append(q.order, i)
+		}
+	}
+	return q.order
+}
+
+// expired removes and returns one request whose latest start has passed.
+func (q *rankQueues) expired(now time.Time) (*waiting, bool) {
+	if len(q.deadlines) == 0 || q.deadlines[0].latestStart.After(now) {
+		return nil, false
+	}
+	w := q.deadlines[0]
+	q.remove(w.request.ID)
+	return w, true
+}
+
+// moreUrgentWaiting returns the number of queued requests of more urgent ranks.
+func (q *rankQueues) moreUrgentWaiting(rank int) int {
+	count := 0
+	for _, r := range q.ranks[:rank] {
+		count += r.fair.length
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/endpoint/stream.go
@@ -0,0 +1,100 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// eventBytes bounds one line of a server-sent event.
+const eventBytes = 16 << 10
+
+// Token is one event of a stream.
+type Token struct {
+	// Offset is the number of tokens before this one.
+	Offset int
+	Text   string
+	// FinishReason is set on the last event, which has no text.
+	FinishReason string
+}
+
+// Stream reads the tokens of one request.
+type Stream struct {
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	response *http.Response
+	reader   *bufio.Reader
+	watchdog *time.Timer
+	silence  time.Duration
+}
+
+type streamEvent struct {
+	TokenOffset int `json:"token_offset"`
+	Choices     []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+func newStream(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response, watchdog *time.Timer, silence time.Duration) *Stream {
+	return &Stream{
+		ctx: ctx, cancel: cancel, response: response,
+		reader:   bufio.NewReaderSize(response.Body, eventBytes),
+		watchdog: watchdog, silence: silence,
+	}
+}
+
+// Close ends the connection.
+func (s *Stream) Close() {
+	s.watchdog.Stop()
+	s.cancel(nil)
+	_ = s.response.Body.Close()
+}
+
+// Next returns the next token. It returns io.EOF after the closing event of a
+// whole stream, ErrSilent when nothing came in time, and ErrBroken when the
+// stream ended without its closing event.
+func (s *Stream) Next() (Token, error) {
+	for {
+		s.watchdog.Reset(s.silence)
+		line, err := s.reader.ReadSlice('\n')
+		if err != nil {
+			return Token{}, s.failure(err)
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if bytes.Equal(data, []byte("[DONE]")) {
+			return Token{}, io.EOF
+		}
+		return parseToken(data)
+	}
+}
+
+func (s *Stream) failure(err error) error {
+	if errors.Is(context.Cause(s.ctx), ErrSilent) {
+		return ErrSilent
+	}
+	return errors.Newf("%v: %w", err, ErrBroken)
+}
+
+func parseToken(data []byte) (Token, error) {
+	var event streamEvent
+	if err := json.Unmarshal(data, &event); err != nil || len(event.Choices) != 1 {
+		return Token{}, errors.Newf("unreadable event: %w", ErrBroken)
+	}
+	token := Token{Offset: event.TokenOffset, Text: event.Choices[0].Delta.Content}
+	if event.Choices[0].FinishReason != nil {
+		token.FinishReason = *event.Choices[0].FinishReason
+	}
+	return token, nil
+}
--- /dev/null
+++ b/pkg/link/peer.go
@@ -0,0 +1,170 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+// peer is the outgoing side of one connection. Frames flow one way on it; the
+// other daemon opens its own connection for its frames.
+type peer struct {
+	mesh      *Mesh
+	host      string
+	queue     chan []byte
+	connected atomic.Bool
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+// peer returns the peer of a host and starts its writer on first use.
+func (m *Mesh) peer(host string) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.peers[host]; ok {
+		return p
+	}
+	p := &peer{mesh: m, host: host, queue: make(chan []byte, queueFrames)}
+	m.peers[host] = p
+	m.wait.Add(1)
+	go func() {
+		defer m.wait.Done()
+		p.run(m.ctx)
+	}()
+	return p
+}
+
+func (p *peer) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil {
+		p.cancel()
+	}
+}
+
+// run opens a connection for each run of frames.
+func (p *peer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-p.queue:
+			p.converse(ctx, first)
+		}
+	}
+}
+
+// converse sends frames over one connection until it fails or is idle.
+func (p *peer) converse(parent context.Context, first []byte) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	p.mu.Lock()
+	p.cancel = cancel
+	p.mu.Unlock()
+	conn, err := p.dial(ctx)
+	if err != nil {
+		p.mesh.config.Log.V(1).Info("peer is not reachable", "host", p.host, "error", err.Error())
+		p.drop()
+		if ctx.Err() == nil {
+			p.mesh.config.Unreachable(p.host)
+		}
+		return
+	}
+	p.connected.Store(true)
+	defer p.connected.Store(false)
+	defer func() { _ = conn.CloseNow() }()
+	// The reader answers pings and sees the close; peers send no frames here.
+	ctx = conn.CloseRead(ctx)
+	if err := p.write(ctx, conn, first); err != nil {
+		return
+	}
+	p.pump(ctx, conn)
+}
+
+// pump writes queued frames, and pings when there are none.
+func (p *peer) pump(ctx context.Context, conn *websocket.Conn) {
+	ticker := time.NewTicker(PingPeriod)
+	defer ticker.Stop()
+	idle := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case encoded := <-p.queue:
+			idle = 0
+			if err := p.write(ctx, conn, encoded); err != nil {
+				return
+			}
+		case <-ticker.C:
+			idle += PingPeriod
+			if idle >= IdleTimeout {
+				return
+			}
+			if err := ping(ctx, conn); err != nil {
+				p.mesh.config.Log.V(1).Info("peer connection is silent", "host", p.host)
+				return
+			}
+		}
+	}
+}
+
+func ping(parent context.Context, conn *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(parent, PingTimeout)
+	defer cancel()
+	return conn.Ping(ctx)
+}
+
+func (p *peer) write(parent context.Context, conn *websocket.Conn, encoded []byte) error {
+	ctx, cancel := context.WithTimeout(parent, PingTimeout)
+	defer cancel()
+	if err := conn.Write(ctx, websocket.MessageBinary, encoded); err != nil {
+		p.mesh.droppedFrames.Add(1)
+		return errors.Newf("write frame: %w", err)
+	}
+	p.mesh.sentBytes.Add(uint64(len(encoded)))
+	p.mesh.sentFrames.Add(1)
+	return nil
+}
+
+// drop discards what waits for a peer that cannot be reached.
+func (p *peer) drop() {
+	p.mesh.droppedFrames.Add(1)
+	for {
+		select {
+		case <-p.queue:
+			p.mesh.droppedFrames.Add(1)
+		default:
+			return
+		}
+	}
+}
+
+func (p *peer) dial(parent context.Context) (*websocket.Conn, error) {
+	address, ok := p.mesh.config.Resolve(p.host)
+	if !ok {
+		return nil, errors.Newf("no address of host %s", p.host)
+	}
+	ctx, cancel := context.WithTimeout(parent, DialTimeout)
+	defer cancel()
+	url := "http://" + address.String() + Path
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Newf("build request: %w", err)
+	}
+	p.mesh.config.Keys.Sign(request, p.mesh.config.Host, p.mesh.config.Now())
+	options := &websocket.DialOptions{HTTPClient: p.mesh.client, HTTPHeader: request.Header}
+	conn, response, err := websocket.Dial(ctx, url, options)
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Newf("dial %s: %w", p.host, err)
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,117 @@
+// Package settings reads the daemon's INI file.
+//
+// The flow is: Load reads the file, each section is decoded by its own
+// function, every fault is collected, and the caller receives either complete
+// Settings or one Faults error that lists all faults at once. Token and key
+// settings may name a file instead of a value, so that secrets stay out of the
+// INI file itself.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Settings is everything a daemon learns from its file.
+type Settings struct {
+	Daemon   Daemon
+	Listen   Listen
+	Platform Platform
+	Peers    Peers
+	Operator Operator
+	Limits   Limits
+	Log      Log
+	Trace    Trace
+}
+
+// Daemon names the host that the process runs on.
+type Daemon struct {
+	Host             string
+	AvailabilityZone string
+}
+
+// Listen holds the addresses of the three listeners.
+type Listen struct {
+	Caller   netip.AddrPort
+	Operator netip.AddrPort
+	Peer     netip.AddrPort
+}
+
+// Platform locates the services that the platform provides.
+type Platform struct {
+	// StoreURLs are base URLs of the platform's key-value service.
+	StoreURLs []string
+	// HostsURL is the address of the platform's list of live and leaving hosts.
+	HostsURL string
+	// RequestTimeout bounds one call to the platform.
+	RequestTimeout time.Duration
+}
+
+// Peers tells how daemons find and authenticate each other.
+type Peers struct {
+	Seeds []netip.AddrPort
+	// Keys authenticate peer links. The first key signs; every key verifies.
+	Keys []string
+}
+
+// Operator holds the credentials of the operator listener.
+type Operator struct {
+	Token string
+}
+
+// Limits bounds what callers may hold.
+type Limits struct {
+	BodyBytes       int64
+	HeaderBytes     int
+	Connections     int
+	ShutdownTimeout time.Duration
+}
+
+// Log selects the verbosity: 0 reports changes of state, 1 each request.
+type Log struct {
+	Verbosity int
+}
+
+// Exporter names a destination for spans.
+type Exporter string
+
+// The exporters that a daemon can use.
+const (
+	ExporterNone Exporter = "none"
+	ExporterFile Exporter = "file"
+	ExporterOTLP Exporter = "otlp"
+)
+
+// Trace selects where spans go.
+type Trace struct {
+	Exporter Exporter
+	// Target is a file path for ExporterFile and a URL for ExporterOTLP.
+	Target string
+}
+
+// Fault is one thing wrong with a settings file.
+type Fault struct {
+	Section string
+	Key     string
+	Value   string
+	Allowed string
+}
+
+// Error describes the fault with its place and what is allowed there.
+func (f Fault) Error() string {
+	return fmt.Sprintf("[%s] %s = %q: want %s", f.Section, f.Key, f.Value, f.Allowed)
+}
+
+// Faults is the error of a settings file with at least one fault.
+type Faults []Fault
+
+// Error lists all faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/pkg/store/store_gateway.go
@@ -0,0 +1,295 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// NewGatewayStore returns a Store that speaks the etcd v3 protocol in its
+// published JSON mapping over HTTP. Calls go to the base URLs in turn; each is
+// .
+func NewGatewayStore(baseURLs []string, timeout time.Duration) *Store {
+	g := &gateway{
+		baseURLs: baseURLs,
+		timeout:  timeout,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:           (&net.Dialer{Timeout: timeout}).DialContext,
+			MaxIdleConnsPerHost:   8,
+			IdleConnTimeout:       30 * time.Second,
+			ResponseHeaderTimeout: timeout,
+		}},
+	}
+	return &Store{
+		Get:        g.get,
+		List:       g.list,
+		Commit:     g.commit,
+		GrantLease: g.grantLease,
+		Watch:      g.watch,
+	}
+}
+
+type gateway struct {
+	baseURLs []string
+	timeout  time.Duration
+	client   *http.Client
+	next     atomic.Uint64
+}
+
+type keyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+func (k keyValue) entry() Entry {
+	return Entry{Key: string(k.Key), Value: k.Value, Revision: Revision(k.ModRevision)}
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	KeyValues []keyValue `json:"kvs"`
+}
+
+type compareRequest struct {
+	Result      string `json:"result"`
+	Target      string `json:"target"`
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+type operation struct {
+	Put    *putRequest   `json:"request_put,omitempty"`
+	Range  *rangeRequest `json:"request_range,omitempty"`
+	Delete *rangeRequest `json:"request_delete_range,omitempty"`
+}
+
+type transactionRequest struct {
+	Compare []compareRequest `json:"compare,omitempty"`
+	Success []operation      `json:"success,omitempty"`
+	Failure []operation      `json:"failure,omitempty"`
+}
+
+type responseHeader struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type operationResponse struct {
+	Range *rangeResponse `json:"response_range"`
+}
+
+type transactionResponse struct {
+	Header    responseHeader      `json:"header"`
+	Succeeded bool                `json:"succeeded"`
+	Responses []operationResponse `json:"responses"`
+}
+
+type leaseRequest struct {
+	Seconds int64 `json:"TTL,string"`
+}
+
+type leaseResponse struct {
+	ID int64 `json:"ID,string"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	StartRevision int64  `json:"start_revision,string"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchEvent struct {
+	Type     string   `json:"type"`
+	KeyValue keyValue `json:"kv"`
+}
+
+type watchResult struct {
+	Events []watchEvent `json:"events"`
+}
+
+type watchResponse struct {
+	Result watchResult `json:"result"`
+}
+
+func (g *gateway) baseURL() string {
+	turn := g.next.Add(1)
+	return g.baseURLs[turn%uint64(len(g.baseURLs))]
+}
+
+// send posts one message and leaves the answer's body to the caller.
+func (g *gateway) send(ctx context.Context, path string, message any) (*http.Response, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Newf("encode %s: %w", path, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.baseURL()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Newf("build %s: %w", path, err)
+	}
+	// The body must not be sent again by the transport on its own account.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	response, err := g.client.Do(request)
+	if err != nil {
+		return nil, errors.Newf("call %s: %w", path, classify(err))
+	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		closeBody(response)
+		return nil, errors.Newf("call %s: status %d: %w", path, response.StatusCode, ErrUnavailable)
+	}
+	if response.StatusCode != http.StatusOK {
+		closeBody(response)
+		return nil, errors.Newf("call %s: status %d: %w", path, response.StatusCode, ErrOutcomeUnknown)
+	}
+	return response, nil
+}
+
+// classify tells a call that never left from one whose answer was lost.
+func classify(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return errors.Newf("%v: %w", err, ErrUnavailable)
+	}
+	return errors.Newf("%v: %w", err, ErrOutcomeUnknown)
+}
+
+func closeBody(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 1<<16))
+	_ = response.Body.Close()
+}
+
+func (g *gateway) call(ctx context.Context, path string, message, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, g.timeout)
+	defer cancel()
+	response, err := g.send(ctx, path, message)
+	if err != nil {
+		return err
+	}
+	defer closeBody(response)
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return errors.Newf("decode %s: %v: %w", path, err, ErrOutcomeUnknown)
+	}
+	return nil
+}
+
+func (g *gateway) get(ctx context.Context, key string) (Entry, error) {
+	var answer rangeResponse
+	if err := g.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &answer); err != nil {
+		return Entry{}, errors.Newf("get %s: %w", key, err)
+	}
+	if len(answer.KeyValues) == 0 {
+		return Entry{Key: key}, nil
+	}
+	return answer.KeyValues[0].entry(), nil
+}
+
+// prefixEnd returns the first key after all keys that begin with prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+func (g *gateway) list(ctx context.Context, prefix string) ([]Entry, error) {
+	var answer rangeResponse
+	request := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if err := g.call(ctx, "/v3/kv/range", request, &answer); err != nil {
+		return nil, errors.Newf("list %s: %w", prefix, err)
+	}
+	entries := make([]Entry, 0, len(answer.KeyValues))
+	for _, value := range answer.KeyValues {
+		entries = append(entries, value.entry())
+	}
+	return entries, nil
+}
+
+func newTransaction(commit Commit) transactionRequest {
+	var request transactionRequest
+	for _, compare := range commit.Compares {
+		request.Compare = append(request.Compare, compareRequest{
+			Result: "EQUAL", Target: "MOD", Key: []byte(compare.Key), ModRevision: int64(compare.Revision),
+		})
+	}
+	for _, put := range commit.Puts {
+		request.Success = append(request.Success, operation{
+			Put: &putRequest{Key: []byte(put.Key), Value: put.Value, Lease: int64(put.Lease)},
+		})
+	}
+	for _, key := range commit.Deletes {
+		request.Success = append(request.Success, operation{Delete: &rangeRequest{Key: []byte(key)}})
+	}
+	for _, key := range commit.Otherwise {
+		request.Failure = append(request.Failure, operation{Range: &rangeRequest{Key: []byte(key)}})
+	}
+	return request
+}
+
+func (g *gateway) commit(ctx context.Context, commit Commit) (CommitResult, error) {
+	var answer transactionResponse
+	if err := g.call(ctx, "/v3/kv/txn", newTransaction(commit), &answer); err != nil {
+		return CommitResult{}, errors.Newf("commit: %w", err)
+	}
+	result := CommitResult{Succeeded: answer.Succeeded, Revision: Revision(answer.Header.Revision)}
+	for _, response := range answer.Responses {
+		if response.Range == nil {
+			continue
+		}
+		for _, value := range response.Range.KeyValues {
+			result.Current = append(result.Current, value.entry())
+		}
+	}
+	return result, nil
+}
+
+func (g *gateway) grantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var answer leaseResponse
+	seconds := max(int64(ttl/time.Second), 1)
+	if err := g.call(ctx, "/v3/lease/grant", leaseRequest{Seconds: seconds}, &answer); err != nil {
+		return 0, errors.Newf("grant lease: %w", err)
+	}
+	return LeaseID(answer.ID), nil
+}
+
+func (g *gateway) watch(ctx context.Context, key string, after Revision, deliver func(Event)) error {
+	create := watchCreate{Key: []byte(key), StartRevision: int64(after) + 1}
+	response, err := g.send(ctx, "/v3/watch", watchRequest{Create: create})
+	if err != nil {
+		return errors.Newf("watch %s: %w", key, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var answer watchResponse
+		if err := decoder.Decode(&answer); err != nil {
+			return errors.Newf("watch %s: %w", key, err)
+		}
+		for _, event := range answer.Result.Events {
+			deliver(Event{Entry: event.KeyValue.entry(), Deleted: event.Type == "DELETE"})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/ticket/ticket_test.go
@@ -0,0 +1,120 @@
+package ticket_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/pkg/store"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+	"github.com/turmerictide/turmerictide/standin/storesite"
+)
+
+func newStore(t *testing.T) (*store.Store, *storesite.Store) {
+	site := storesite.NewStore(time.Now)
+	server := httptest.NewServer(site.Handler())
+	t.Cleanup(server.Close)
+	return store.NewGatewayStore([]string{server.URL}, time.Second), site
+}
+
+func loadExample(t *testing.T, path string) ticket.Ticket {
+	content, err := os.ReadFile(path)
+	require.NoError(t, err)
+	parsed, err := ticket.Parse(content)
+	require.NoError(t, err)
+	return parsed
+}
+
+const cairo = "../../examples/cairo/ticket-1.json"
+
+func TestExamplesAreAccepted(t *testing.T) {
+	paths, err := filepath.Glob("../../examples/*/ticket-*.json")
+	require.NoError(t, err)
+	require.Len(t, paths, 2)
+	for _, path := range paths {
+		s, _ := newStore(t)
+		result, err := ticket.Apply(t.Context(), s, loadExample(t, path), "a")
+		require.NoError(t, err, path)
+		require.Equal(t, ticket.VerdictAccepted, result.Verdict)
+	}
+}
+
+func TestCheckListsAllFaults(t *testing.T) {
+	wrong := loadExample(t, cairo)
+	wrong.Number = 0
+	pool := wrong.Pools["cone-assistant-decode-shubra"]
+	pool.Endpoints[0].Places = 0
+	pool.Endpoints[1].Name = pool.Endpoints[0].Name
+	err := wrong.Check()
+	require.ErrorContains(t, err, "number: must be at least 1")
+	require.ErrorContains(t, err, "endpoints[0].places: must be above 0")
+	require.ErrorContains(t, err, "endpoints[1].name")
+}
+
+func TestOneOfManyCompetingTicketsWins(t *testing.T) {
+	s, _ := newStore(t)
+	var mu sync.Mutex
+	verdicts := map[ticket.Verdict]int{}
+	var wait sync.WaitGroup
+	for i := range 16 {
+		wait.Go(func() {
+			result, err := ticket.Apply(t.Context(), s, loadExample(t, cairo), string(rune('a'+i)))
+			mu.Lock()
+			defer mu.Unlock()
+			require.NoError(t, err)
+			verdicts[result.Verdict]++
+		})
+	}
+	wait.Wait()
+	require.Equal(t, map[ticket.Verdict]int{ticket.VerdictAccepted: 1, ticket.VerdictRefused: 15}, verdicts)
+}
+
+func TestLostAnswersAreSettledByReading(t *testing.T) {
+	s, site := newStore(t)
+	site.SetSwitches(storesite.Switches{LoseAnswers: 30})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := ticket.Apply(ctx, s, loadExample(t, cairo), "a")
+	require.ErrorIs(t, err, store.ErrOutcomeUnknown)
+	site.SetSwitches(storesite.Switches{})
+	// Only the answer of the head's write is lost now.
+	commit := s.Commit
+	s.Commit = func(ctx context.Context, c store.Commit) (store.CommitResult, error) {
+		if len(c.Compares) > 0 {
+			site.SetSwitches(storesite.Switches{LoseAnswers: 1})
+		}
+		return commit(ctx, c)
+	}
+	result, err := ticket.Apply(ctx, s, loadExample(t, cairo), "b")
+	require.NoError(t, err)
+	require.Equal(t, ticket.VerdictAccepted, result.Verdict)
+	require.Equal(t, "b", result.Head.Attempt)
+}
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	s, _ := newStore(t)
+	first, err := ticket.Apply(t.Context(), s, loadExample(t, cairo), "a")
+	require.NoError(t, err)
+	second := ticket.Ticket{Number: 2, Remove: []string{"pool/booking-desk-maadi"}}
+	result, err := ticket.Apply(t.Context(), s, second, "b")
+	require.NoError(t, err)
+	follower := ticket.NewFollower(nil)
+	require.NoError(t, follower.Follow(t.Context(), time.Now(), result.Head, ticket.NewStoreSource(s)))
+	require.NoError(t, follower.Follow(t.Context(), time.Now(), first.Head, ticket.NewStoreSource(s)))
+	require.Equal(t, ticket.Number(2), follower.Number())
+	require.NotContains(t, follower.Current().Pools, "booking-desk-maadi")
+}
+
+func TestInconsistentResultIsRefused(t *testing.T) {
+	s, _ := newStore(t)
+	_, err := ticket.Apply(t.Context(), s, loadExample(t, cairo), "a")
+	require.NoError(t, err)
+	_, err = ticket.Apply(t.Context(), s, ticket.Ticket{Number: 2, Remove: []string{"service/cone-assistant"}}, "b")
+	require.ErrorContains(t, err, "no service \"cone-assistant\"")
+}
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,118 @@
+// Package plain stands in for a plain service such as a booking desk.
+//
+// A POST runs something that may not be repeated, and a GET looks something up.
+// The service counts every run of each Idempotency-Key, so that a test can
+// compare what callers were told with what happened.
+package plain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Switches are the failures that can be turned on.
+type Switches struct {
+	// Delay is the time that each call takes.
+	Delay time.Duration `json:"delay"`
+	// LoseAnswers is the number of coming calls that run but are not answered.
+	LoseAnswers int `json:"lose_answers"`
+	// CloseBefore is the number of coming calls whose connection closes before they run.
+	CloseBefore int `json:"close_before"`
+}
+
+// Service is the stand-in's state.
+type Service struct {
+	mu       sync.Mutex
+	runs     map[string]int
+	lookups  int
+	switches Switches
+}
+
+// NewService returns a service that has run nothing.
+func NewService() *Service {
+	return &Service{runs: map[string]int{}}
+}
+
+// Handler serves the calls and the control routes.
+func (s *Service) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Put("/control/switches", s.serveSwitches)
+	router.Get("/control/runs", s.serveRuns)
+	router.Post("/*", s.serveRun)
+	router.Get("/*", s.serveLookup)
+	return router
+}
+
+func (s *Service) serveSwitches(w http.ResponseWriter, r *http.Request) {
+	var switches Switches
+	if err := json.NewDecoder(r.Body).Decode(&switches); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetSwitches(switches)
+}
+
+// SetSwitches replaces the switches.
+func (s *Service) SetSwitches(switches Switches) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.switches = switches
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
+// Runs returns the number of runs of each key.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := make(map[string]int, len(s.runs))
+	for key, count := range s.runs {
+		result[key] = count
+	}
+	return result
+}
+
+func (s *Service) serveRun(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.mu.Lock()
+	if s.switches.CloseBefore > 0 {
+		s.switches.CloseBefore--
+		s.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.runs[key]++
+	number := len(s.runs)
+	delay := s.switches.Delay
+	lost := s.switches.LoseAnswers > 0
+	if lost {
+		s.switches.LoseAnswers--
+	}
+	s.mu.Unlock()
+	time.Sleep(delay)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "{\"reservation\":%d,\"path\":%q}\n", number, r.URL.Path)
+}
+
+func (s *Service) serveLookup(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.lookups++
+	delay := s.switches.Delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, "{\"stock\":42,\"path\":%q}\n", r.URL.Path)
+}
