Refuse at once what no endpoint of the zone can serve in time

Cause: with a zone's only prefill endpoint killed, its requests waited out their whole target in the queue of the own zone, and reached the other zone too late. The new process test for killed stand-ins failed on it ("not in time: the other zone serves").

Change: an endpoint whose cooldown ends after the request's latest start, or that has just failed this request, no longer counts as able to serve it, so the refusal comes at once and the front asks the other zone. After a failure one request probes the endpoint before others follow. Ruled out: asking the other zone in parallel, which would reserve twice.

--- /dev/null
+++ b/internal/site/helper_test.go
@@ -0,0 +1,385 @@
+package site_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/internal/site"
+	"github.com/turmerictide/turmerictide/pkg/operator"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+	"github.com/turmerictide/turmerictide/standin/engine"
+)
+
+var binaries string
+
+// TestMain builds the programs with the race detector once.
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "turmerictide-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binaries = directory
+	build := exec.Command("go", "build", "-race", "-o", directory+string(filepath.Separator), "../../cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(output))
+		return 1
+	}
+	return m.Run()
+}
+
+// settle bounds the wait for something that must come about. It is generous,
+// because the machine may be busy; no test measures it.
+const settle = 40 * time.Second
+
+// start runs a site with its first ticket in force everywhere.
+func start(t *testing.T, config site.Config) *site.Site {
+	t.Helper()
+	config.Binaries = binaries
+	config.Directory = t.TempDir()
+	if config.Zones == nil {
+		config.Zones = []string{"shubra", "maadi"}
+	}
+	if config.DaemonsPerZone == 0 {
+		config.DaemonsPerZone = 2
+	}
+	if config.DecodePerZone == 0 {
+		config.DecodePerZone = 2
+	}
+	s, err := site.Start(config)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		s.Close()
+		for _, d := range s.Daemons {
+			require.NotContains(t, d.Log(), "DATA RACE", d.Name)
+			require.NotContains(t, d.Log(), "panic:", d.Name)
+			if t.Failed() {
+				t.Logf("log of %s:\n%s", d.Name, d.Log())
+			}
+		}
+	})
+	apply(t, s, s.Ticket(1), 0)
+	for _, d := range s.Daemons {
+		require.NoError(t, site.WaitFor("http://"+d.Address.String()+"/readyz", settle))
+	}
+	eventually(t, "all daemons know each other", func() bool {
+		for _, d := range s.Daemons {
+			if len(aliveAt(t, d)) != len(s.Daemons) {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(settle)
+	for !is() {
+		require.True(t, time.Now().Before(deadline), "not in time: %s", what)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// apply runs the tool and requires its exit code.
+func apply(t *testing.T, s *site.Site, change ticket.Ticket, code int) {
+	t.Helper()
+	path, err := s.WriteTicket(change)
+	require.NoError(t, err)
+	command := exec.Command(filepath.Join(binaries, "turmerictide"), "--store", "http://"+s.Store.Address.String(), "ticket", "apply", path)
+	output, _ := command.CombinedOutput()
+	require.Equal(t, code, command.ProcessState.ExitCode(), string(output))
+}
+
+func statusOf(t *testing.T, d *site.Process) (operator.Status, error) {
+	t.Helper()
+	var status operator.Status
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.Operator.String()+operator.PathStatus, nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+site.OperatorToken)
+	client := &http.Client{Timeout: 5 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+func aliveAt(t *testing.T, d *site.Process) []string {
+	t.Helper()
+	status, err := statusOf(t, d)
+	if err != nil {
+		return nil
+	}
+	var alive []string
+	for _, host := range status.Hosts {
+		if host.State == "alive" {
+			alive = append(alive, host.Host)
+		}
+	}
+	return alive
+}
+
+// ownerOf returns the daemon that owns the model shard of a zone.
+func ownerOf(t *testing.T, s *site.Site, zone string) *site.Process {
+	t.Helper()
+	for _, d := range s.Daemons {
+		status, err := statusOf(t, d)
+		if err != nil {
+			continue
+		}
+		for _, shard := range status.Shards {
+			if shard.Owned && shard.Shard == site.ModelService+"/"+zone+"/0" {
+				return d
+			}
+		}
+	}
+	return nil
+}
+
+// answer is what a caller received.
+type answer struct {
+	status     int
+	code       string
+	outcome    string
+	retryAfter string
+	words      []string
+	// whole is true when the closing event of the stream, or the whole JSON
+	// answer, arrived.
+	whole bool
+	body  string
+	err   error
+}
+
+type call struct {
+	token string
+	rank  string
+	key   string
+	// onToken is called after each token of a stream with their number.
+	onToken func(count int)
+}
+
+func newRequest(ctx context.Context, t *testing.T, method, url, body string, c call) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	require.NoError(t, err)
+	token := c.token
+	if token == "" {
+		token = site.CallerToken
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Content-Type", "application/json")
+	if c.rank != "" {
+		request.Header.Set("X-Rank", c.rank)
+	}
+	if c.key != "" {
+		request.Header.Set("Idempotency-Key", c.key)
+	}
+	return request
+}
+
+// post sends one request on a connection of its own.
+func post(ctx context.Context, t *testing.T, url, body string, c call) answer {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(newRequest(ctx, t, http.MethodPost, url, body, c))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	a := answer{status: response.StatusCode, outcome: response.Header.Get("X-Outcome"), retryAfter: response.Header.Get("Retry-After")}
+	if response.Header.Get("Content-Type") == "text/event-stream" {
+		a.readStream(response, c.onToken)
+		return a
+	}
+	var buffer bytes.Buffer
+	_, a.err = buffer.ReadFrom(response.Body)
+	a.body = buffer.String()
+	a.readBody(a.err == nil)
+	return a
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+	} `json:"choices"`
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+func (a *answer) readStream(response *http.Response, onToken func(int)) {
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.whole = true
+			continue
+		}
+		var part chunk
+		if a.err = json.Unmarshal([]byte(data), &part); a.err != nil {
+			return
+		}
+		if part.Error.Code != "" {
+			a.code = part.Error.Code
+			continue
+		}
+		if part.Choices[0].Delta.Content != "" {
+			a.words = append(a.words, part.Choices[0].Delta.Content)
+			if onToken != nil {
+				onToken(len(a.words))
+			}
+		}
+	}
+	a.err = scanner.Err()
+}
+
+func (a *answer) readBody(complete bool) {
+	var part chunk
+	if json.Unmarshal([]byte(a.body), &part) != nil {
+		return
+	}
+	a.code = part.Error.Code
+	if len(part.Choices) == 1 {
+		a.words = strings.SplitAfter(strings.TrimSuffix(part.Choices[0].Message.Content, " "), " ")
+		a.whole = complete
+	}
+}
+
+func chatBody(prompt string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, site.Model, stream, tokens, prompt)
+}
+
+func chatURL(d *site.Process) string {
+	return "http://" + d.Address.String() + "/v1/chat/completions"
+}
+
+func deskURL(d *site.Process) string {
+	return "http://" + d.Address.String() + "/services/" + site.PlainService + "/reservations"
+}
+
+// requireWhole requires every token of the prompt's output exactly once.
+func requireWhole(t *testing.T, a answer, prompt string, tokens int) {
+	t.Helper()
+	require.NoError(t, a.err)
+	require.True(t, a.whole, "the answer is not whole: status %d code %q, %d tokens", a.status, a.code, len(a.words))
+	require.Equal(t, engine.Words(prompt, tokens), a.words)
+}
+
+// countsOf returns what an engine has done and holds.
+func countsOf(t *testing.T, p *site.Process) engine.Counts {
+	t.Helper()
+	var counts engine.Counts
+	control(t, http.MethodGet, p, "counts", nil, &counts)
+	return counts
+}
+
+// control calls a stand-in's control route.
+func control(t *testing.T, method string, p *site.Process, route string, message, result any) {
+	t.Helper()
+	encoded, err := json.Marshal(message)
+	require.NoError(t, err)
+	request, err := http.NewRequest(method, "http://"+p.Address.String()+"/control/"+route, bytes.NewReader(encoded))
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	if result != nil {
+		require.NoError(t, json.NewDecoder(response.Body).Decode(result))
+	}
+}
+
+// requireIdle waits until no engine holds anything and no shard holds a reservation.
+func requireIdle(t *testing.T, s *site.Site) {
+	t.Helper()
+	eventually(t, "engines and shards hold nothing", func() bool {
+		for _, p := range s.Endpoints {
+			if p.Role == ticket.RolePlain || isEnded(p) {
+				continue
+			}
+			if counts := countsOf(t, p); counts.Running > 0 || counts.Exports > 0 {
+				return false
+			}
+		}
+		for _, d := range s.Daemons {
+			if isEnded(d) {
+				continue
+			}
+			status, err := statusOf(t, d)
+			if err != nil {
+				return false
+			}
+			for _, shard := range status.Shards {
+				if shard.Held > 0 || shard.Queued > 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func isEnded(p *site.Process) bool {
+	select {
+	case <-p.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
+// runningAt returns the decode engine that runs a request.
+func runningAt(t *testing.T, s *site.Site) *site.Process {
+	t.Helper()
+	for _, p := range s.Endpoints {
+		if p.Role == ticket.RoleDecode && !isEnded(p) && countsOf(t, p).Running > 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// plainRuns returns how often each key was run, over all plain services.
+func plainRuns(t *testing.T, s *site.Site) map[string]int {
+	t.Helper()
+	total := map[string]int{}
+	for _, p := range s.Endpoints {
+		if p.Role != ticket.RolePlain || isEnded(p) {
+			continue
+		}
+		var runs map[string]int
+		control(t, http.MethodGet, p, "runs", nil, &runs)
+		for key, count := range runs {
+			total[key] += count
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/site/process_test.go
@@ -0,0 +1,133 @@
+package site_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/internal/site"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+func TestBadInputIsAnsweredAndHoldsNothing(t *testing.T) {
+	s := start(t, site.Config{Zones: []string{"shubra"}})
+	d := s.Daemons[0]
+	chat, desk := chatURL(d), deskURL(d)
+	cases := []struct {
+		name, url, body string
+		call            call
+		status          int
+		code            string
+	}{
+		{"not JSON", chat, "{", call{}, 400, "invalid_json"},
+		{"wrong shape", chat, `{"model":7}`, call{}, 400, "invalid_json"},
+		{"no model", chat, `{"messages":[]}`, call{}, 400, "model_missing"},
+		{"unknown model", chat, `{"model":"none","messages":[]}`, call{}, 404, "model_unknown"},
+		{"wrong token", chat, chatBody("x", 1, false), call{token: "wrong"}, 401, "token_invalid"},
+		{"forbidden rank", chat, chatBody("x", 1, false), call{token: site.OfficeToken, rank: "urgent"}, 403, "rank_forbidden"},
+		{"body too large", chat, strings.Repeat("x", 5<<20), call{}, 413, "body_too_large"},
+		{"does not fit", chat, chatBody("x", 1<<20, false), call{}, 400, "request_too_large"},
+		{"unknown service", "http://" + d.Address.String() + "/services/none/x", "", call{}, 404, "service_unknown"},
+		{"long key", desk, "{}", call{key: strings.Repeat("k", 300)}, 400, "invalid_json"},
+		{"unknown path", "http://" + d.Address.String() + "/nothing", "", call{}, 404, "route_unknown"},
+	}
+	for _, c := range cases {
+		got := post(t.Context(), t, c.url, c.body, c.call)
+		require.NoError(t, got.err, c.name)
+		require.Equal(t, c.status, got.status, c.name)
+		require.Equal(t, c.code, got.code, c.name)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	got := post(ctx, t, chat, chatBody("broken by the caller", 2000, true), call{onToken: func(count int) {
+		if count == 3 {
+			cancel()
+		}
+	}})
+	require.False(t, got.whole)
+	requireIdle(t, s)
+}
+
+func TestListenersRefuseWhoeverHasNoRight(t *testing.T) {
+	s := start(t, site.Config{Zones: []string{"shubra"}})
+	d := s.Daemons[0]
+	for _, url := range []string{
+		"http://" + d.Operator.String() + "/v1/status",
+		"http://" + d.Operator.String() + "/metrics",
+		"http://" + d.Peer.String() + "/peer/head",
+		"http://" + d.Peer.String() + "/peer/link",
+	} {
+		response, err := http.Get(url)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusUnauthorized, response.StatusCode, url)
+	}
+}
+
+func TestKilledStandinsLeaveTheRestWorking(t *testing.T) {
+	s := start(t, site.Config{})
+	s.Hosts.Kill()
+	for _, p := range s.Endpoints {
+		if p.Zone == "shubra" && p.Role == ticket.RolePrefill {
+			p.Kill()
+		}
+	}
+	d := s.Daemons[0]
+	require.Equal(t, "shubra", d.Zone)
+	eventually(t, "the other zone serves", func() bool {
+		a := post(t.Context(), t, chatURL(d), chatBody("other zone", 5, true), call{})
+		return a.whole
+	})
+	s.Store.Kill()
+	requireWhole(t, post(t.Context(), t, chatURL(s.Daemons[2]), chatBody("no store", 5, true), call{}), "no store", 5)
+	refused := post(t.Context(), t, deskURL(d), "{}", call{key: "store-down"})
+	require.Equal(t, "not_run", refused.code)
+	require.Equal(t, "not_run", refused.outcome)
+	require.NotEmpty(t, refused.retryAfter)
+	require.Zero(t, plainRuns(t, s)["store-down"])
+}
+
+func TestKilledDaemonsLeaveTheRestServing(t *testing.T) {
+	s := start(t, site.Config{})
+	owner := ownerOf(t, s, "shubra")
+	require.NotNil(t, owner)
+	var other *site.Process
+	for _, d := range s.Daemons {
+		if d.Zone == "shubra" && d != owner {
+			other = d
+		}
+	}
+	during := post(t.Context(), t, chatURL(other), chatBody("dispatcher dies", 200, true), call{onToken: func(count int) {
+		if count == 20 {
+			owner.Kill()
+		}
+	}})
+	requireWhole(t, during, "dispatcher dies", 200)
+	requireWhole(t, post(t.Context(), t, chatURL(other), chatBody("after", 5, true), call{}), "after", 5)
+	requireIdle(t, s)
+	require.NoError(t, owner.Start())
+	require.NoError(t, site.WaitFor("http://"+owner.Address.String()+"/readyz", settle))
+	requireWhole(t, post(t.Context(), t, chatURL(owner), chatBody("restarted", 5, true), call{}), "restarted", 5)
+}
+
+func TestSecondSignalEndsShutdownAndSaysWhatWasCut(t *testing.T) {
+	s := start(t, site.Config{Zones: []string{"shubra"}, TokenGap: 20 * time.Millisecond})
+	d := s.Daemons[0]
+	a := post(t.Context(), t, chatURL(d), chatBody("cut", 3000, true), call{onToken: func(count int) {
+		if count == 5 {
+			require.NoError(t, d.Signal(syscall.SIGTERM))
+		}
+		if count == 60 {
+			require.NoError(t, d.Signal(syscall.SIGTERM))
+		}
+	}})
+	require.False(t, a.whole)
+	<-d.Ended()
+	require.Equal(t, 1, d.ExitCode())
+	require.Contains(t, d.Log(), `"cut":1`)
+	requireIdle(t, s)
+}
--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -26,6 +26,14 @@
 type health struct {
 	failures  int
 	coolUntil time.Time
+	// probing is true while the one request is granted that finds out whether
+	// the endpoint works again.
+	probing bool
+}
+
+// isOpen reports whether the endpoint may be granted to a request.
+func (h *health) isOpen(now time.Time) bool {
+	return !now.Before(h.coolUntil) && !h.probing
 }
 
 func (h *health) fail(now time.Time) {
@@ -36,6 +44,17 @@
 
 func (h *health) succeed() {
 	h.failures = 0
+	h.probing = false
+}
+
+// grant notes a request; the first one after a failure is a probe.
+func (h *health) grant() {
+	h.probing = h.failures > 0
+}
+
+// settle notes the end of a request, whatever came of it.
+func (h *health) settle() {
+	h.probing = false
 }
 
 // prefillEndpoint is the exact account of one prefill endpoint.
@@ -99,8 +118,13 @@
 	e.busySince = now
 }
 
+// isUsable reports whether the endpoint belongs to the shard and stays.
+func (e *prefillEndpoint) isUsable() bool {
+	return e.present && !e.endpoint.Leaving
+}
+
 func (e *prefillEndpoint) isOpen(now time.Time) bool {
-	return e.present && !e.endpoint.Leaving && !now.Before(e.health.coolUntil) && e.outstanding < e.endpoint.Places
+	return e.isUsable() && e.health.isOpen(now) && e.outstanding < e.endpoint.Places
 }
 
 // decodeEndpoint is the exact account of one decode or plain endpoint.
@@ -132,8 +156,13 @@
 	return min(int(e.limit), e.endpoint.Places)
 }
 
+// isUsable reports whether the endpoint belongs to the shard and stays.
+func (e *decodeEndpoint) isUsable() bool {
+	return e.present && !e.endpoint.Leaving
+}
+
 func (e *decodeEndpoint) isOpen(now time.Time) bool {
-	return e.present && !e.endpoint.Leaving && !now.Before(e.health.coolUntil) && !now.Before(e.busyUntil)
+	return e.isUsable() && e.health.isOpen(now) && !now.Before(e.busyUntil)
 }
 
 func (e *decodeEndpoint) free() int {
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -103,10 +103,12 @@
 		work:   work, grantedAt: now, decodeAt: now,
 	}
 	result := Grant{ID: w.request.ID, Front: w.request.Front, Decode: choice.decode.endpoint.Name}
+	choice.decode.health.grant()
 	if choice.prefill == nil {
 		h.stage = StageDecode
 	} else {
 		result.Prefill = choice.prefill.endpoint.Name
+		choice.prefill.health.grant()
 	}
 	p.reserve(now, h)
 	p.freeDecode--
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -147,7 +147,7 @@
 func (p *Planner) decodeLimit() int {
 	total := 0
 	for _, e := range p.decode {
-		if e.present && !e.endpoint.Leaving {
+		if e.isUsable() {
 			total += e.places()
 		}
 	}
@@ -158,7 +158,7 @@
 func (p *Planner) prefillRate() float64 {
 	total := 0.0
 	for _, e := range p.prefill {
-		if e.present && !e.endpoint.Leaving {
+		if e.isUsable() {
 			total += e.tokensPerSecond()
 		}
 	}
@@ -185,10 +185,10 @@
 	queue := p.queues.ranks[request.Rank]
 	queue.arrivals.add(now)
 	p.countFree(now)
-	if cause := p.unfit(request); cause != "" {
+	latest := request.Arrival.Add(queue.targets.firstToken - p.leastTime(request))
+	if cause := p.unfit(request, latest); cause != "" {
 		return append(decisions, p.refuse(now, request, cause))
 	}
-	latest := request.Arrival.Add(queue.targets.firstToken - p.leastTime(request))
 	if p.predictWait(now, request) > latest.Sub(now) {
 		return append(decisions, p.refuse(now, request, CauseTooLate))
 	}
@@ -213,16 +213,16 @@
 	}}
 }
 
-// unfit returns why no endpoint could ever serve the request, or "".
-func (p *Planner) unfit(request Request) Cause {
+// unfit returns why no endpoint can serve the request before latest, or "".
+func (p *Planner) unfit(request Request, latest time.Time) Cause {
 	prefill := p.service.Kind == ticket.KindPlain
 	for _, e := range p.prefill {
-		prefill = prefill || (e.present && !e.endpoint.Leaving)
+		prefill = prefill || (e.isUsable() && e.health.coolUntil.Before(latest) && e.endpoint.Name != request.Exclude)
 	}
 	decode, large := false, false
 	pieces := Pieces(request.PromptTokens, request.OutputTokens)
 	for _, e := range p.decode {
-		if !e.present || e.endpoint.Leaving {
+		if !e.isUsable() || !e.health.coolUntil.Before(latest) || e.endpoint.Name == request.Exclude {
 			continue
 		}
 		decode = true
@@ -242,7 +242,7 @@
 func (p *Planner) leastTime(request Request) time.Duration {
 	best := 0.0
 	for _, e := range p.prefill {
-		if e.present && !e.endpoint.Leaving {
+		if e.isUsable() {
 			best = max(best, e.tokensPerSecond())
 		}
 	}
@@ -348,6 +348,10 @@
 }
 
 func (p *Planner) measureOutcome(now time.Time, h *hold, outcome Outcome) {
+	h.decode.health.settle()
+	if h.prefill != nil {
+		h.prefill.health.settle()
+	}
 	p.markFailure(now, h, outcome)
 	if outcome.FailedEndpoint != "" {
 		return
@@ -531,11 +535,11 @@
 func (p *Planner) Pressure(now time.Time) Pressure {
 	p.countFree(now)
 	last := len(p.queues.ranks) - 1
-	if p.unfit(Request{Rank: last}) != "" {
+	target := p.queues.ranks[last].targets.firstToken
+	if p.unfit(Request{Rank: last}, now.Add(target)) != "" {
 		return MaxPressure
 	}
 	wait := p.predictWait(now, Request{Rank: last})
-	target := p.queues.ranks[last].targets.firstToken
 	if target <= 0 {
 		return 0
 	}
