--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,4 @@
+SHELL := bash
 BIN := bin
 PACKAGES := ./...
 
@@ -19,5 +20,18 @@
 format:
 	go -C tools tool gofumpt -w $(CURDIR)/cmd $(CURDIR)/pkg $(CURDIR)/standin $(CURDIR)/internal
 
+# The measurements run without the race detector: they are in virtual time and in
+# one goroutine each. The seed of the fuzz tests is fixed, so that every run gives
+# the same verdict.
 test: lint build
-	go test -race $(PACKAGES)
+	go test -race -count=1 $(shell go list ./... | grep -v /bench/)
+	go test -count=1 ./bench/...
+
+bench:
+	go test ./bench/... -v -count=1
+	go test ./pkg/dispatch -run 'TestDecisionAllocations|TestControlBytes' -v -count=1
+	go test ./pkg/dispatch -run XXX -bench BenchmarkDecision -benchmem
+
+# The rapid seed is fixed, so that every run gives the same verdict.
+prove: build
+	go test -race -count=1 -run TestPromise -v ./... 2>&1 | grep -E '^(=== NAME|--- |ok|FAIL|panic)|not in time'; test $${PIPESTATUS[0]} -eq 0
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -68,7 +68,16 @@
 type routedShard struct {
 	id        ShardID
 	key       shard.Key
-	endpoints map[string]ticket.Endpoint
+	endpoints map[endpointHash]ticket.Endpoint
+}
+
+// add notes an endpoint. Two with one hash are both unknown.
+func (s routedShard) add(endpoint ticket.Endpoint) {
+	hash := hashEndpoint(endpoint.Name)
+	if _, taken := s.endpoints[hash]; taken {
+		endpoint = ticket.Endpoint{}
+	}
+	s.endpoints[hash] = endpoint
 }
 
 type offer struct {
@@ -79,8 +88,10 @@
 
 // arrival is a decision with the time at which its message came.
 type arrival struct {
-	decision Decision
-	at       time.Time
+	grant wireGrant
+	// refusal is set, with its cause, instead of a grant.
+	refusal Refusal
+	at      time.Time
 }
 
 // Reservation is a grant in use. Exactly one call of Done ends it.
@@ -129,12 +140,12 @@
 	}
 	shards := map[string][]routedShard{}
 	for _, s := range shard.Divide(state) {
-		routed := routedShard{id: NewShardID(s.Key), key: s.Key, endpoints: map[string]ticket.Endpoint{}}
+		routed := routedShard{id: NewShardID(s.Key), key: s.Key, endpoints: map[endpointHash]ticket.Endpoint{}}
 		for _, endpoint := range s.Prefill {
-			routed.endpoints[endpoint.Name] = endpoint
+			routed.add(endpoint)
 		}
 		for _, endpoint := range s.Decode {
-			routed.endpoints[endpoint.Name] = endpoint
+			routed.add(endpoint)
 		}
 		shards[s.Key.Service] = append(shards[s.Key.Service], routed)
 	}
@@ -273,19 +284,22 @@
 }
 
 func (c *Client) accept(o *offer, arrived arrival) (*Reservation, error) {
-	decision := arrived.decision
-	if !decision.IsGrant() {
-		return nil, &RefusedError{Refusal: decision.Refusal}
+	if arrived.refusal.Cause != "" {
+		return nil, &RefusedError{Refusal: arrived.refusal}
 	}
+	wire := arrived.grant
 	r := &Reservation{
-		Grant: decision.Grant, Shard: o.shard.key, GrantedAt: arrived.at,
-		Prefill: o.shard.endpoints[decision.Grant.Prefill],
-		Decode:  o.shard.endpoints[decision.Grant.Decode],
-		client:  c, request: o.request, shard: o.shard,
+		Shard: o.shard.key, GrantedAt: arrived.at,
+		Prefill: o.shard.endpoints[wire.Prefill], Decode: o.shard.endpoints[wire.Decode],
+		client: c, request: o.request, shard: o.shard,
 	}
-	if !r.Decode.Address.IsValid() {
+	if !r.Decode.Address.IsValid() || (wire.Prefill != 0 && !r.Prefill.Address.IsValid()) {
 		c.tellDone(o.shard, o.request.ID, Outcome{})
-		return nil, errors.Newf("endpoint %s is not known here yet: %w", decision.Grant.Decode, ErrNoShard)
+		return nil, errors.Newf("a granted endpoint is not known here yet: %w", ErrNoShard)
+	}
+	r.Grant = Grant{
+		ID: wire.ID, Front: c.config.Host, Prefill: r.Prefill.Name, Decode: r.Decode.Name,
+		Fencing: wire.Fencing, Priority: wire.Priority,
 	}
 	c.mu.Lock()
 	c.live[o.request.ID] = r
@@ -310,27 +324,31 @@
 	if owner == "" {
 		return
 	}
-	c.publish(context.Background(), owner, kindDone, s.id, wireDone{
-		ID: id, OutputTokens: outcome.OutputTokens, FailedEndpoint: outcome.FailedEndpoint, Busy: outcome.Busy,
+	kind := kindDone
+	if outcome.Busy {
+		kind = kindBusy
+	}
+	c.publish(context.Background(), owner, kind, noShard, wireDone{
+		ID: id, OutputTokens: outcome.OutputTokens, FailedEndpoint: outcome.FailedEndpoint,
 	})
 }
 
 // Prefilled tells the dispatcher that the prefill is complete.
 func (r *Reservation) Prefilled() {
-	r.advance(StageTransfer)
+	r.advance(StageTransfer, kindPrefilled)
 }
 
 // Started tells the dispatcher that the decode endpoint produces tokens.
 func (r *Reservation) Started() {
-	r.advance(StageDecode)
+	r.advance(StageDecode, kindStarted)
 }
 
-func (r *Reservation) advance(stage Stage) {
+func (r *Reservation) advance(stage Stage, kind wireKind) {
 	r.client.mu.Lock()
 	r.stage = stage
 	r.client.mu.Unlock()
 	if owner := r.client.owner(r.shard); owner != "" {
-		r.client.publish(context.Background(), owner, kindStage, r.shard.id, wireStage{ID: r.Grant.ID, Stage: stage})
+		r.client.publish(context.Background(), owner, kind, noShard, r.Grant.ID)
 	}
 }
 
--- a/pkg/dispatch/client_messages.go
+++ b/pkg/dispatch/client_messages.go
@@ -34,16 +34,15 @@
 	if err := link.Decode(envelope.Body, &wire); err != nil {
 		return
 	}
-	grant := Grant{ID: wire.ID, Front: c.config.Host, Prefill: wire.Prefill, Decode: wire.Decode, Fencing: wire.Fencing}
-	if c.decide(wire.ID, Decision{Grant: grant}) {
+	if c.decide(wire.ID, arrival{grant: wire, at: c.config.Now()}) {
 		return
 	}
 	c.mu.Lock()
 	live, ok := c.live[wire.ID]
-	same := ok && live.Grant == grant
+	same := ok && live.Grant.Fencing == wire.Fencing
 	c.mu.Unlock()
 	if !same {
-		c.publish(context.Background(), owner, kindDone, envelope.Shard, wireDone{ID: wire.ID})
+		c.publish(context.Background(), owner, kindDone, noShard, wireDone{ID: wire.ID})
 	}
 }
 
@@ -52,20 +51,20 @@
 	if err := link.Decode(body, &wire); err != nil {
 		return
 	}
-	c.decide(wire.ID, Decision{Refusal: Refusal{
+	c.decide(wire.ID, arrival{at: c.config.Now(), refusal: Refusal{
 		ID: wire.ID, Front: c.config.Host, Cause: wire.Cause,
 		RetryAfter: time.Duration(wire.RetryAfterMilliseconds) * time.Millisecond,
 	}})
 }
 
 // decide passes a decision to the offer that waits for it, if one does.
-func (c *Client) decide(id RequestID, decision Decision) bool {
+func (c *Client) decide(id RequestID, decision arrival) bool {
 	c.mu.Lock()
 	o, ok := c.pending[id]
 	delete(c.pending, id)
 	c.mu.Unlock()
 	if ok {
-		o.decision <- arrival{decision: decision, at: c.config.Now()}
+		o.decision <- decision
 	}
 	return ok
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -24,11 +24,12 @@
 	return strconv.FormatUint(uint64(id), 16)
 }
 
-// Prefix is a leading part of a prompt that an endpoint may have cached.
-type Prefix struct {
-	Hash   uint64
-	Tokens int
-}
+// PrefixHash is the hash of a leading part of a prompt that an endpoint may have
+// cached.
+type PrefixHash uint32
+
+// PrefixTokens are the lengths of the leading parts that are hashed.
+var PrefixTokens = [...]int{256, 1024, 4096, 16384}
 
 // Request is one attempt to run a request of a caller.
 type Request struct {
@@ -40,8 +41,9 @@
 	PromptTokens int
 	// OutputTokens is the limit on tokens to generate.
 	OutputTokens int
-	// Prefixes are the leading parts of the prompt, the shortest first.
-	Prefixes []Prefix
+	// Prefixes are the hashes of the prompt's leading parts with the lengths of
+	// PrefixTokens, as many as the prompt is long enough for.
+	Prefixes []PrefixHash
 	Arrival  time.Time
 	// Exclude names an endpoint that has just failed this request.
 	Exclude string
@@ -61,6 +63,10 @@
 	Prefill string
 	Decode  string
 	Fencing FencingNumber
+	// Priority is passed on to the engines, 0 the most urgent. It is the rank,
+	// but for work that a rank is owed for its floor, which goes with the most
+	// urgent.
+	Priority int
 }
 
 // Cause says why a request was refused.
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,8 @@
 	// word and by the platform's.
 	reportedLeaving map[string]bool
 	listedLeaving   map[string]bool
+	// unreadable counts the failed readings of endpoints' reports in a row.
+	unreadable map[string]int
 	// heard is the time of the first message from each life of a front.
 	heard    map[uint32]time.Time
 	lastTick time.Time
@@ -107,7 +110,7 @@
 		config: config, done: make(chan struct{}),
 		all: map[ShardID]shard.Shard{}, owned: map[ShardID]*ownedShard{},
 		reportedLeaving: map[string]bool{}, listedLeaving: map[string]bool{},
-		heard: map[uint32]time.Time{}, refusals: map[Cause]int64{},
+		unreadable: map[string]int{}, heard: map[uint32]time.Time{}, refusals: map[Cause]int64{},
 	}
 }
 
@@ -185,7 +188,8 @@
 		result := append([]ticket.Endpoint(nil), endpoints...)
 		for i := range result {
 			name := result[i].Name
-			result[i].Leaving = result[i].Leaving || d.reportedLeaving[name] || d.listedLeaving[name]
+			closed := d.reportedLeaving[name] || d.listedLeaving[name] || d.unreadable[name] >= unreadableLimit
+			result[i].Leaving = result[i].Leaving || closed
 		}
 		return result
 	}
@@ -205,6 +209,26 @@
 	d.applyLeaving()
 }
 
+// unreadableLimit is the number of failed readings in a row after which an
+// endpoint gets no new work until its report can be read again.
+const unreadableLimit = 2
+
+// SetReadable notes whether an endpoint's report could be read on a new
+// connection.
+func (d *Dispatcher) SetReadable(endpoint string, readable bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.unreadable[endpoint] >= unreadableLimit
+	if readable {
+		delete(d.unreadable, endpoint)
+	} else {
+		d.unreadable[endpoint]++
+	}
+	if before != (d.unreadable[endpoint] >= unreadableLimit) {
+		d.applyLeaving()
+	}
+}
+
 // SetListedLeaving replaces the endpoints that the platform's list of hosts
 // shows as leaving.
 func (d *Dispatcher) SetListedLeaving(endpoints []string) {
@@ -274,12 +298,14 @@
 		if decision.IsGrant() {
 			g := decision.Grant
 			d.grants++
-			d.publish(g.Front, kindGrant, o.id, wireGrant{ID: g.ID, Prefill: g.Prefill, Decode: g.Decode, Fencing: g.Fencing})
+			d.publish(g.Front, kindGrant, noShard, wireGrant{
+				ID: g.ID, Prefill: hashEndpoint(g.Prefill), Decode: hashEndpoint(g.Decode), Fencing: g.Fencing, Priority: g.Priority,
+			})
 			continue
 		}
 		r := decision.Refusal
 		d.refusals[r.Cause]++
-		d.publish(r.Front, kindRefusal, o.id, wireRefusal{ID: r.ID, Cause: r.Cause, RetryAfterMilliseconds: r.RetryAfter.Milliseconds()})
+		d.publish(r.Front, kindRefusal, noShard, wireRefusal{ID: r.ID, Cause: r.Cause, RetryAfterMilliseconds: r.RetryAfter.Milliseconds()})
 	}
 }
 
@@ -291,6 +317,17 @@
 	now := d.config.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	switch envelope.Kind {
+	case kindPrefilled:
+		d.handleStage(now, envelope.Body, (*Planner).Prefilled)
+		return nil
+	case kindStarted:
+		d.handleStage(now, envelope.Body, (*Planner).Started)
+		return nil
+	case kindDone, kindBusy:
+		d.handleDone(now, envelope.Body, envelope.Kind == kindBusy)
+		return nil
+	}
 	if _, ok := d.all[envelope.Shard]; !ok {
 		return nil
 	}
@@ -298,10 +335,6 @@
 	switch envelope.Kind {
 	case kindOffer:
 		d.handleOffer(now, o, m, envelope.Body)
-	case kindStage:
-		d.handleStage(now, o, envelope.Body)
-	case kindDone:
-		d.handleDone(now, o, envelope.Body)
 	case kindHolds:
 		d.handleHolds(now, o, link.Host(m), envelope.Body)
 	case kindDisown:
@@ -330,25 +363,44 @@
 	d.send(o, o.planner.Offer(now, request, d.decisions[:0]))
 }
 
-func (d *Dispatcher) handleStage(now time.Time, o *ownedShard, body []byte) {
-	var wire wireStage
-	if err := link.Decode(body, &wire); err != nil {
-		return
+// find returns the owned shard that knows a request, or nil.
+func (d *Dispatcher) find(id RequestID) *ownedShard {
+	for _, o := range d.owned {
+		if o.planner.knows(id) || o.hasOffer(id) {
+			return o
+		}
 	}
-	if wire.Stage == StageTransfer {
-		d.send(o, o.planner.Prefilled(now, wire.ID, d.decisions[:0]))
+	return nil
+}
+
+func (o *ownedShard) hasOffer(id RequestID) bool {
+	return slices.ContainsFunc(o.offers, func(r Request) bool { return r.ID == id })
+}
+
+// stageEvent is Planner.Prefilled or Planner.Started.
+type stageEvent func(p *Planner, now time.Time, id RequestID, decisions []Decision) []Decision
+
+func (d *Dispatcher) handleStage(now time.Time, body []byte, event stageEvent) {
+	var id RequestID
+	if err := link.Decode(body, &id); err != nil {
 		return
 	}
-	d.send(o, o.planner.Started(now, wire.ID, d.decisions[:0]))
+	if o := d.find(id); o != nil {
+		d.send(o, event(o.planner, now, id, d.decisions[:0]))
+	}
 }
 
-func (d *Dispatcher) handleDone(now time.Time, o *ownedShard, body []byte) {
+func (d *Dispatcher) handleDone(now time.Time, body []byte, busy bool) {
 	var wire wireDone
 	if err := link.Decode(body, &wire); err != nil {
 		return
 	}
+	o := d.find(wire.ID)
+	if o == nil {
+		return
+	}
 	o.dropOffer(wire.ID)
-	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: wire.Busy}
+	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: busy}
 	d.send(o, o.planner.Done(now, wire.ID, outcome, d.decisions[:0]))
 }
 
@@ -369,13 +421,7 @@
 
 // dropOffer removes a request that was withdrawn while the shard is rebuilt.
 func (o *ownedShard) dropOffer(id RequestID) {
-	kept := o.offers[:0]
-	for _, request := range o.offers {
-		if request.ID != id {
-			kept = append(kept, request)
-		}
-	}
-	o.offers = kept
+	o.offers = slices.DeleteFunc(o.offers, func(r Request) bool { return r.ID == id })
 }
 
 func (d *Dispatcher) handleHolds(now time.Time, o *ownedShard, front string, body []byte) {
--- a/pkg/dispatch/estimate.go
+++ b/pkg/dispatch/estimate.go
@@ -7,7 +7,7 @@
 
 const (
 	// meanWeight is the weight of one new sample in a moving mean.
-	meanWeight = 0.1
+	meanWeight = 0.02
 	// rateWindow is the time constant of an arrival rate.
 	rateWindow = 5 * time.Second
 )
@@ -66,8 +66,9 @@
 // predictWait returns the time for which one more request of a rank would wait.
 func (p *Planner) predictWait(now time.Time, request Request) time.Duration {
 	queue := p.queues.ranks[request.Rank]
-	ahead := p.queues.moreUrgentWaiting(request.Rank) + queue.fair.ahead(request.Caller)
-	if ahead == 0 && p.freeDecode > p.headroomFor(now, request.Rank) {
+	own := float64(queue.fair.ahead(request.Caller))
+	urgentWaiting := float64(p.queues.moreUrgentWaiting(request.Rank))
+	if own+urgentWaiting == 0 && p.freeDecode > p.headroomFor(now, request.Rank) {
 		return 0
 	}
 	total := p.throughput()
@@ -78,8 +79,11 @@
 	for _, r := range p.queues.ranks[:request.Rank] {
 		urgent += r.arrivals.value(now)
 	}
-	available := max(total-urgent, total*queue.targets.floor, total*leastShare)
-	return time.Duration(float64(ahead) / available * float64(time.Second))
+	// The request is served from what more urgent ranks leave, after those that
+	// wait, or from its own rank's floor, whichever is sooner.
+	left := (own + urgentWaiting) / max(total-urgent, total*leastShare)
+	floor := own / max(total*queue.targets.floor, total*leastShare)
+	return time.Duration(min(left, floor) * float64(time.Second))
 }
 
 // leastShare keeps the predicted wait of a rank without a floor finite.
@@ -96,31 +100,36 @@
 const (
 	// headroomMiss is the accepted probability that an urgent request finds no
 	// free decode place.
-	headroomMiss = 0.01
+	headroomMiss = 0.004
 	// headroomShare bounds the part of decode places that is kept free.
 	headroomShare = 0.1
 )
 
 // headroomFor returns the decode places that a rank leaves free for more urgent
-// ones. With urgent arrivals at rate a and places becoming free at rate f, the
-// urgent backlog exceeds n places with probability (a/f)^(n+1), as in a single
-// server queue; this is trunk reservation as known from telephone networks.
+// ones. With urgent arrivals at rate a and places becoming free at rate f, an
+// urgent request that finds n places kept free waits longer than t with
+// probability (a/f)^(n+1) * exp(-(f-a)t), as in a single server queue. This is
+// trunk reservation as known from telephone networks.
 func (p *Planner) headroomFor(now time.Time, rank int) int {
 	if rank == 0 || p.holdTime.samples == 0 {
 		return 0
 	}
-	urgent := 0.0
+	urgent, slack := 0.0, math.Inf(1)
 	for _, r := range p.queues.ranks[:rank] {
-		urgent += r.arrivals.value(now)
+		if arrivals := r.arrivals.value(now); arrivals > 0 {
+			urgent += arrivals
+			slack = min(slack, r.slack.or(r.targets.firstToken.Seconds()/2))
+		}
 	}
-	load := urgent / p.throughput()
-	if load <= 0 {
+	total := p.throughput()
+	if urgent <= 0 {
 		return 0
 	}
 	most := int(headroomShare * float64(p.decodeLimit()))
-	if load >= 1 {
+	if urgent >= total {
 		return most
 	}
-	need := math.Ceil(math.Log(headroomMiss)/math.Log(load)) - 1
+	allowed := math.Log(headroomMiss) + (total-urgent)*max(slack, 0)
+	need := math.Ceil(allowed/math.Log(urgent/total)) - 1
 	return min(int(max(need, 0)), most)
 }
--- /dev/null
+++ b/pkg/dispatch/export_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+)
+
+// MessageBytesOfRequest returns the bytes of all frames between a front and a
+// dispatcher on another host for one chat request with names of usual length.
+func MessageBytesOfRequest() int {
+	now := time.Unix(1_800_000_000, 0)
+	id := RequestID(0xfedcba98_00012345)
+	request := encodeRequest(Request{
+		ID: id, Caller: "site-foremen", Rank: 1, PromptTokens: 4500, OutputTokens: 1024,
+		Prefixes: []PrefixHash{1 << 31, 1 << 30, 1 << 29},
+		Arrival:  now.Add(-3 * time.Millisecond),
+	}, now)
+	bodies := []struct {
+		kind   wireKind
+		shard  ShardID
+		body   any
+		traced bool
+	}{
+		{kindOffer, 1 << 31, request, true},
+		{kindGrant, noShard, wireGrant{ID: id, Prefill: hashEndpoint("prefill-shubra-1"), Decode: hashEndpoint("decode-shubra-12"), Fencing: 1 << 60}, false},
+		{kindPrefilled, noShard, id, false},
+		{kindStarted, noShard, id, false},
+		{kindDone, noShard, wireDone{ID: id, OutputTokens: 471}, false},
+	}
+	total := 0
+	for _, b := range bodies {
+		payload, err := encodeMessage(b.kind, b.shard, b.body)
+		if err != nil {
+			panic(err)
+		}
+		total += link.FrameBytes(payload, b.traced)
+	}
+	return total
+}
--- a/pkg/dispatch/observer.go
+++ b/pkg/dispatch/observer.go
@@ -79,6 +79,10 @@
 	ctx, cancel := context.WithTimeout(parent, observeTimeout)
 	defer cancel()
 	report, err := o.load(ctx, endpoint)
+	if parent.Err() != nil {
+		return
+	}
+	o.dispatcher.SetReadable(endpoint.Name, err == nil)
 	if err != nil {
 		return
 	}
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -46,7 +46,7 @@
 		if !p.queues.isOwed(rank) && p.freeDecode <= p.headroomFor(now, rank) {
 			continue
 		}
-		if decision, ok := p.grantRank(now, rank); ok {
+		if decision, ok := p.grantRank(now, rank, p.queues.priority(rank)); ok {
 			return decision, true
 		}
 	}
@@ -55,14 +55,14 @@
 
 // grantRank tries the callers of a rank in their order. Callers whose next
 // request does not fit are passed over, a bounded number of them.
-func (p *Planner) grantRank(now time.Time, rank int) (Decision, bool) {
+func (p *Planner) grantRank(now time.Time, rank, priority int) (Decision, bool) {
 	fair := p.queues.ranks[rank].fair
 	p.blocked = p.blocked[:0]
 	var decision Decision
 	decided := false
 	for len(fair.active) > 0 && len(p.blocked) < maxBlockedCallers {
 		c := fair.active[0]
-		if decision, decided = p.tryCaller(now, rank, c); decided {
+		if decision, decided = p.tryCaller(now, rank, priority, c); decided {
 			break
 		}
 		p.blocked = append(p.blocked, heap.Pop(&fair.active).(*callerQueue))
@@ -74,9 +74,9 @@
 }
 
 // tryCaller grants or refuses the next request of a caller if it fits now.
-func (p *Planner) tryCaller(now time.Time, rank int, c *callerQueue) (Decision, bool) {
+func (p *Planner) tryCaller(now time.Time, rank, priority int, c *callerQueue) (Decision, bool) {
 	w := c.entries[0]
-	choice, ok := p.place(now, w)
+	choice, ok := p.place(now, w, priority)
 	if !ok {
 		p.noteBlocked(now, w)
 		return Decision{}, false
@@ -87,10 +87,10 @@
 		p.clearSaved(w)
 		return p.refuse(now, w.request, CauseTooLate), true
 	}
-	return p.grant(now, rank, c, choice), true
+	return p.grant(now, rank, priority, c, choice), true
 }
 
-func (p *Planner) grant(now time.Time, rank int, c *callerQueue, choice placement) Decision {
+func (p *Planner) grant(now time.Time, rank, priority int, c *callerQueue, choice placement) Decision {
 	expected := c.entries[0].request
 	output := min(p.queues.ranks[rank].output.or(float64(expected.OutputTokens)), float64(expected.OutputTokens))
 	work := max(choice.tokens+outputTokenWork*output, 1)
@@ -100,9 +100,9 @@
 		request: w.request, prefill: choice.prefill, decode: choice.decode,
 		prefillTokens: choice.tokens, bytes: choice.bytes,
 		pieces: Pieces(w.request.PromptTokens, w.request.OutputTokens),
-		work:   work, grantedAt: now, decodeAt: now,
+		work:   work, priority: priority, grantedAt: now, decodeAt: now,
 	}
-	result := Grant{ID: w.request.ID, Front: w.request.Front, Decode: choice.decode.endpoint.Name}
+	result := Grant{ID: w.request.ID, Front: w.request.Front, Decode: choice.decode.endpoint.Name, Priority: priority}
 	choice.decode.health.grant()
 	if choice.prefill == nil {
 		h.stage = StageDecode
@@ -119,7 +119,7 @@
 
 // place chooses a prefill endpoint, a link with room and a decode endpoint
 // together, or reports that the request does not fit now.
-func (p *Planner) place(now time.Time, w *waiting) (placement, bool) {
+func (p *Planner) place(now time.Time, w *waiting, priority int) (placement, bool) {
 	decode := p.chooseDecode(now, w)
 	if decode == nil {
 		return placement{}, false
@@ -127,7 +127,7 @@
 	if p.service.Kind == ticket.KindPlain {
 		return placement{decode: decode}, true
 	}
-	return p.choosePrefill(now, w, decode)
+	return p.choosePrefill(now, w, priority, decode)
 }
 
 // chooseDecode returns the open endpoint with the largest free part of its
@@ -151,13 +151,13 @@
 
 // choosePrefill completes a placement with the prefill endpoint that is
 // predicted to finish first, counting the prefill that its cache saves.
-func (p *Planner) choosePrefill(now time.Time, w *waiting, decode *decodeEndpoint) (placement, bool) {
+func (p *Planner) choosePrefill(now time.Time, w *waiting, priority int, decode *decodeEndpoint) (placement, bool) {
 	request := w.request
 	bytes := float64(request.PromptTokens) * float64(p.service.KVBytesPerToken)
 	var best placement
 	for _, e := range p.prefill {
 		barred := e.endpoint.Name == request.Exclude || (request.Suspect && e.suspects > 0)
-		if barred || !e.isOpen(now) || !p.mayQueueAt(now, e, request.Rank) {
+		if barred || !e.isOpen(now) || !p.mayQueueAt(now, e, priority) {
 			continue
 		}
 		transfer := max(e.link.transferTime(bytes), decode.link.transferTime(bytes))
@@ -165,7 +165,7 @@
 			continue
 		}
 		tokens := float64(max(request.PromptTokens-e.prefixes.saved(request.Prefixes), 1))
-		finish := e.backlog(now, request.Rank) + time.Duration(tokens/e.tokensPerSecond()*float64(time.Second))
+		finish := e.backlog(now, priority) + time.Duration(tokens/e.tokensPerSecond()*float64(time.Second))
 		firstToken := finish + transfer + p.queues.ranks[request.Rank].targets.gap
 		if best.prefill == nil || firstToken < best.firstToken {
 			best = placement{prefill: e, decode: decode, tokens: tokens, bytes: bytes, firstToken: firstToken}
@@ -185,17 +185,17 @@
 	return true
 }
 
-// mayQueueAt reports whether a rank may add to what waits at a prefill
-// endpoint. Less urgent ranks leave a place for the most urgent one, which the
-// endpoint serves first.
-func (p *Planner) mayQueueAt(now time.Time, e *prefillEndpoint, rank int) bool {
+// mayQueueAt reports whether a request may add to what waits at a prefill
+// endpoint. Lower priorities leave a place for the highest, which the endpoint
+// serves first.
+func (p *Planner) mayQueueAt(now time.Time, e *prefillEndpoint, priority int) bool {
 	if e.outstanding == 0 {
 		return true
 	}
-	if rank > 0 && e.outstanding >= e.endpoint.Places-1 {
+	if priority > 0 && e.outstanding >= e.endpoint.Places-1 {
 		return false
 	}
-	return e.backlog(now, rank) <= prefillAhead
+	return e.backlog(now, priority) <= prefillAhead
 }
 
 // noteBlocked keeps a decode endpoint for a request that has waited a quarter
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -19,6 +19,7 @@
 	bytes         float64
 	pieces        int
 	work          float64
+	priority      int
 	grantedAt     time.Time
 	decodeAt      time.Time
 }
@@ -290,7 +291,7 @@
 const minMeasuredTokens = 256
 
 func (p *Planner) leavePrefill(now time.Time, h *hold) {
-	h.prefill.release(now, h.request.Rank, h.prefillTokens)
+	h.prefill.release(now, h.priority, h.prefillTokens)
 	h.prefill.suspects -= suspicion(h.request)
 	for _, prefix := range h.request.Prefixes {
 		h.prefill.prefixes.add(prefix)
@@ -367,8 +368,10 @@
 	}
 	rank := p.queues.ranks[h.request.Rank]
 	rank.output.add(float64(outcome.OutputTokens))
+	rank.slack.add((rank.targets.firstToken - p.leastTime(h.request)).Seconds())
 	actual := h.prefillTokens + outputTokenWork*float64(outcome.OutputTokens)
 	rank.fair.correct(h.request.Caller, actual-h.work)
+	p.queues.settleCredits(h.request.Rank, actual-h.work)
 	if outcome.OutputTokens > 1 {
 		gap := now.Sub(h.decodeAt) / time.Duration(outcome.OutputTokens-1)
 		h.decode.measure(now, gap, p.queues.ranks[0].targets.gap)
@@ -424,7 +427,7 @@
 	}
 	adopted.Request.Rank = min(max(adopted.Request.Rank, 0), len(p.queues.ranks)-1)
 	h := &hold{
-		request: adopted.Request, stage: StageDecode, decode: decode,
+		request: adopted.Request, stage: StageDecode, decode: decode, priority: adopted.Request.Rank,
 		pieces:    Pieces(adopted.Request.PromptTokens, adopted.Request.OutputTokens),
 		grantedAt: now, decodeAt: now,
 	}
@@ -455,7 +458,7 @@
 		return
 	}
 	if h.stage == StagePrefill {
-		h.prefill.reserve(now, h.request.Rank, h.prefillTokens)
+		h.prefill.reserve(now, h.priority, h.prefillTokens)
 		h.prefill.suspects += suspicion(h.request)
 	}
 	h.prefill.link.reserve(h.bytes)
--- /dev/null
+++ b/pkg/dispatch/planner_fuzz_test.go
@@ -0,0 +1,212 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/shard"
+)
+
+// oracle accounts for every request in the simplest way.
+type oracle struct {
+	t       *rapid.T
+	layout  shard.Shard
+	planner *dispatch.Planner
+	now     time.Time
+	next    dispatch.RequestID
+
+	waiting map[dispatch.RequestID]dispatch.Request
+	granted map[dispatch.RequestID]dispatch.Grant
+	stage   map[dispatch.RequestID]dispatch.Stage
+	asked   map[dispatch.RequestID]dispatch.Request
+	ended   map[dispatch.RequestID]int
+	leaving map[string]bool
+	fencing dispatch.FencingNumber
+}
+
+func newOracle(t *rapid.T) *oracle {
+	small := layout(2, 3, 3, 8, 1500*time.Millisecond)
+	return &oracle{
+		t: t, layout: small, planner: newPlanner(small), now: epoch,
+		waiting: map[dispatch.RequestID]dispatch.Request{}, granted: map[dispatch.RequestID]dispatch.Grant{},
+		stage: map[dispatch.RequestID]dispatch.Stage{}, asked: map[dispatch.RequestID]dispatch.Request{},
+		ended: map[dispatch.RequestID]int{}, leaving: map[string]bool{}, fencing: 100,
+	}
+}
+
+// take checks and notes decisions.
+func (o *oracle) take(decisions []dispatch.Decision) {
+	for _, d := range decisions {
+		if !d.IsGrant() {
+			_, ok := o.waiting[d.Refusal.ID]
+			require.True(o.t, ok, "refused %d, which does not wait", d.Refusal.ID)
+			require.Positive(o.t, d.Refusal.RetryAfter)
+			o.end(d.Refusal.ID)
+			continue
+		}
+		o.takeGrant(d.Grant)
+	}
+}
+
+func (o *oracle) takeGrant(g dispatch.Grant) {
+	request, ok := o.waiting[g.ID]
+	require.True(o.t, ok, "granted %d, which does not wait", g.ID)
+	require.Greater(o.t, g.Fencing, o.fencing, "fencing numbers grow")
+	require.False(o.t, o.leaving[g.Prefill] || o.leaving[g.Decode], "a leaving endpoint was granted")
+	require.NotEqual(o.t, request.Exclude, g.Decode)
+	o.fencing = g.Fencing
+	delete(o.waiting, g.ID)
+	o.granted[g.ID] = g
+	o.stage[g.ID] = dispatch.StagePrefill
+	if request.Rank == 1 && g.Priority == 1 {
+		for _, other := range o.waiting {
+			if other.Rank == 0 && o.couldReplace(other, g) {
+				o.t.Fatalf("standard %d was granted without being owed while urgent %d waited", g.ID, other.ID)
+			}
+		}
+	}
+}
+
+// couldReplace reports whether an urgent request needs no more than the granted
+// standard one got.
+func (o *oracle) couldReplace(urgent dispatch.Request, g dispatch.Grant) bool {
+	standard := o.asked[g.ID]
+	small := dispatch.Pieces(urgent.PromptTokens, urgent.OutputTokens) <= dispatch.Pieces(standard.PromptTokens, standard.OutputTokens)
+	barred := urgent.Exclude == g.Decode || urgent.Exclude == g.Prefill || urgent.Suspect
+	return small && !barred && urgent.PromptTokens <= standard.PromptTokens
+}
+
+func (o *oracle) end(id dispatch.RequestID) {
+	delete(o.waiting, id)
+	delete(o.granted, id)
+	o.ended[id]++
+	require.Equal(o.t, 1, o.ended[id], "request %d ended twice", id)
+}
+
+func (o *oracle) pick(name string) (dispatch.RequestID, bool) {
+	var ids []dispatch.RequestID
+	for id := range o.granted {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return 0, false
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return rapid.SampledFrom(ids).Draw(o.t, name), true
+}
+
+// check compares the planner's account with the oracle's.
+func (o *oracle) check() {
+	load := o.planner.Load()
+	require.Equal(o.t, len(o.waiting), load.Queued)
+	require.Equal(o.t, len(o.granted), load.Held)
+	places, pieces := map[string]int{}, map[string]int{}
+	for id, g := range o.granted {
+		require.True(o.t, o.planner.Holds(id))
+		places[g.Decode]++
+		pieces[g.Decode] += dispatch.Pieces(o.asked[id].PromptTokens, o.asked[id].OutputTokens)
+	}
+	total := 0
+	for _, endpoint := range o.layout.Decode {
+		require.LessOrEqual(o.t, places[endpoint.Name], endpoint.Places, "a place is booked twice")
+		require.LessOrEqual(o.t, pieces[endpoint.Name], endpoint.Pieces, "a memory piece is booked twice")
+		total += pieces[endpoint.Name]
+	}
+	require.Equal(o.t, total, load.PiecesUsed, "a reservation outlives its request")
+	require.Equal(o.t, len(o.granted), load.DecodeUsed)
+}
+
+func TestPlannerAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOracle(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) { o.check() },
+			"offer": func(t *rapid.T) {
+				o.next++
+				exclude := rapid.SampledFrom([]string{"", "", "", "decode-0"}).Draw(t, "exclude")
+				r := dispatch.Request{
+					ID: o.next, Front: fmt.Sprint("front-", o.next%2), Caller: fmt.Sprint("caller-", rapid.IntRange(0, 3).Draw(t, "caller")),
+					Rank: rapid.IntRange(0, 1).Draw(t, "rank"), PromptTokens: rapid.IntRange(1, 20000).Draw(t, "prompt"),
+					OutputTokens: rapid.IntRange(1, 4000).Draw(t, "output"), Arrival: o.now, Exclude: exclude,
+					Suspect: rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
+				}
+				o.asked[r.ID], o.waiting[r.ID] = r, r
+				o.take(o.planner.Offer(o.now, r, nil))
+			},
+			"prefilled": func(*rapid.T) {
+				if id, ok := o.pick("prefilled"); ok && o.stage[id] == dispatch.StagePrefill {
+					o.stage[id] = dispatch.StageTransfer
+					o.take(o.planner.Prefilled(o.now, id, nil))
+				}
+			},
+			"started": func(*rapid.T) {
+				if id, ok := o.pick("started"); ok {
+					o.stage[id] = dispatch.StageDecode
+					o.take(o.planner.Started(o.now, id, nil))
+				}
+			},
+			"done": func(t *rapid.T) {
+				id, ok := o.pick("done")
+				if !ok {
+					return
+				}
+				g := o.granted[id]
+				failed := rapid.SampledFrom([]string{"", "", "", g.Prefill, g.Decode}).Draw(t, "failed")
+				o.end(id)
+				o.take(o.planner.Done(o.now, id, dispatch.Outcome{OutputTokens: 100, FailedEndpoint: failed, Busy: rapid.Bool().Draw(t, "busy")}, nil))
+			},
+			"withdraw": func(t *rapid.T) {
+				id := dispatch.RequestID(rapid.IntRange(1, 40).Draw(t, "id"))
+				_, waits := o.waiting[id]
+				require.Equal(t, waits, o.planner.Withdraw(id))
+				if waits {
+					o.end(id)
+				}
+			},
+			"lose front": func(t *rapid.T) {
+				front := fmt.Sprint("front-", rapid.IntRange(0, 1).Draw(t, "front"))
+				lost := o.planner.LoseRequests(func(r dispatch.Request) bool { return r.Front == front })
+				for id, r := range o.waiting {
+					if r.Front == front {
+						o.end(id)
+					}
+				}
+				for _, hold := range lost {
+					require.Equal(t, front, hold.Request.Front)
+					o.end(hold.Request.ID)
+					o.take(o.planner.Done(o.now, hold.Request.ID, dispatch.Outcome{}, nil))
+				}
+			},
+			"leave or return": func(t *rapid.T) {
+				s := o.layout
+				s.Decode = append(s.Decode[:0:0], s.Decode...)
+				i := rapid.IntRange(0, len(s.Decode)-1).Draw(t, "endpoint")
+				o.leaving[s.Decode[i].Name] = !o.leaving[s.Decode[i].Name]
+				for k := range s.Decode {
+					s.Decode[k].Leaving = o.leaving[s.Decode[k].Name]
+				}
+				o.planner.SetEndpoints(s)
+			},
+			"time": func(t *rapid.T) {
+				o.now = o.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "milliseconds")) * time.Millisecond)
+				o.take(o.planner.Tick(o.now, nil))
+			},
+		})
+		// In the end every request comes to exactly one end.
+		for len(o.granted) > 0 {
+			id, _ := o.pick("last")
+			o.end(id)
+			o.take(o.planner.Done(o.now, id, dispatch.Outcome{}, nil))
+		}
+		o.now = o.now.Add(time.Hour)
+		o.take(o.planner.Tick(o.now, nil))
+		require.Empty(t, o.waiting)
+		require.Len(t, o.ended, int(o.next))
+	})
+}
--- a/pkg/dispatch/queue_rank.go
+++ b/pkg/dispatch/queue_rank.go
@@ -16,6 +16,8 @@
 	arrivals rate
 	// output is the mean number of generated tokens.
 	output mean
+	// slack is the mean time in seconds for which a request can wait.
+	slack mean
 }
 
 // rankQueues orders requests by rank: the most urgent first, except that a rank
@@ -69,6 +71,7 @@
 }
 
 // settleCredits shares out granted work among the ranks that are kept waiting.
+// The work is negative when less was done than had been charged.
 func (q *rankQueues) settleCredits(granted int, work float64) {
 	urgentWaits := false
 	for i, r := range q.ranks {
@@ -90,6 +93,14 @@
 	return r.fair.length > 0 && r.credit > 0
 }
 
+// priority returns the priority at the engines of a rank's next grant.
+func (q *rankQueues) priority(rank int) int {
+	if q.isOwed(rank) {
+		return 0
+	}
+	return rank
+}
+
 // ordered returns the ranks with waiting requests in the order to try them.
 func (q *rankQueues) ordered() []int {
 	q.order = q.order[:0]
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -18,20 +18,37 @@
 	TopicToFront = "dispatch_to_front"
 )
 
-// ShardID is the hash of a shard's key.
-type ShardID uint64
+// ShardID is the hash of a shard's key. It is never noShard.
+type ShardID uint32
+
+// noShard stands in messages whose request identifier names the shard.
+const noShard ShardID = 0
 
 // NewShardID returns the identifier of a shard.
 func NewShardID(key shard.Key) ShardID {
-	return ShardID(xxhash.Sum64String(key.String()))
+	return ShardID(xxhash.Sum64String(key.String())) | 1
+}
+
+// endpointHash stands for an endpoint's name in grants. Names that collide
+// within a shard would be told apart by neither side, so a grant whose hash
+// belongs to two endpoints is given back.
+type endpointHash uint32
+
+func hashEndpoint(name string) endpointHash {
+	if name == "" {
+		return 0
+	}
+	return endpointHash(xxhash.Sum64String(name)) | 1
 }
 
 type wireKind uint8
 
 const (
 	kindOffer wireKind = iota
-	kindStage
+	kindPrefilled
+	kindStarted
 	kindDone
+	kindBusy
 	kindHolds
 	kindDisown
 	kindGrant
@@ -48,12 +65,6 @@
 	Body  cbor.RawMessage
 }
 
-type wirePrefix struct {
-	_      struct{} `cbor:",toarray"`
-	Hash   uint64
-	Tokens int
-}
-
 type wireRequest struct {
 	_            struct{} `cbor:",toarray"`
 	ID           RequestID
@@ -61,25 +72,20 @@
 	Rank         int
 	PromptTokens int
 	OutputTokens int
-	Prefixes     []wirePrefix
+	Prefixes     []PrefixHash
 	// AgeMilliseconds is the time since arrival, so that clocks need not agree.
 	AgeMilliseconds int64
 	Exclude         string
 	Suspect         bool
 }
 
-type wireStage struct {
-	_     struct{} `cbor:",toarray"`
-	ID    RequestID
-	Stage Stage
-}
-
+// wireDone is the body of kindDone, and of kindBusy when the failed endpoint was
+// full. The body of kindPrefilled and kindStarted is a RequestID.
 type wireDone struct {
 	_              struct{} `cbor:",toarray"`
 	ID             RequestID
 	OutputTokens   int
 	FailedEndpoint string
-	Busy           bool
 }
 
 type wireHold struct {
@@ -98,11 +104,12 @@
 }
 
 type wireGrant struct {
-	_       struct{} `cbor:",toarray"`
-	ID      RequestID
-	Prefill string
-	Decode  string
-	Fencing FencingNumber
+	_        struct{} `cbor:",toarray"`
+	ID       RequestID
+	Prefill  endpointHash
+	Decode   endpointHash
+	Fencing  FencingNumber
+	Priority int
 }
 
 type wireRefusal struct {
@@ -118,15 +125,12 @@
 }
 
 func encodeRequest(r Request, now time.Time) wireRequest {
-	w := wireRequest{
+	return wireRequest{
 		ID: r.ID, Caller: r.Caller, Rank: r.Rank,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
 		AgeMilliseconds: now.Sub(r.Arrival).Milliseconds(), Exclude: r.Exclude, Suspect: r.Suspect,
+		Prefixes: r.Prefixes,
 	}
-	for _, prefix := range r.Prefixes {
-		w.Prefixes = append(w.Prefixes, wirePrefix{Hash: prefix.Hash, Tokens: prefix.Tokens})
-	}
-	return w
 }
 
 // maxPromptTokens bounds what a peer may claim of a request.
@@ -141,9 +145,7 @@
 		Exclude:      w.Exclude,
 		Suspect:      w.Suspect,
 	}
-	for _, prefix := range w.Prefixes {
-		r.Prefixes = append(r.Prefixes, Prefix{Hash: prefix.Hash, Tokens: prefix.Tokens})
-	}
+	r.Prefixes = w.Prefixes[:min(len(w.Prefixes), len(PrefixTokens))]
 	return r
 }
 
--- a/pkg/front/chat.go
+++ b/pkg/front/chat.go
@@ -19,9 +19,6 @@
 // bytesPerToken estimates prompt tokens, since only engines have tokenizers.
 const bytesPerToken = 4
 
-// prefixBytes are the lengths of the prompt's beginnings that are hashed.
-var prefixBytes = []int{1 << 10, 4 << 10, 16 << 10, 64 << 10}
-
 // chatJob is one chat request on its way.
 type chatJob struct {
 	id           dispatch.RequestID
@@ -33,7 +30,7 @@
 	stream       bool
 	promptTokens int
 	outputTokens int
-	prefixes     []dispatch.Prefix
+	prefixes     []dispatch.PrefixHash
 	fingerprint  poison.Fingerprint
 	arrival      time.Time
 	log          logr.Logger
@@ -149,18 +146,20 @@
 	return limit
 }
 
-func hashPrefixes(model string, messages []byte) []dispatch.Prefix {
-	var prefixes []dispatch.Prefix
-	for _, length := range prefixBytes {
+// hashPrefixes returns the hashes of the prompt's beginnings.
+func hashPrefixes(model string, messages []byte) []dispatch.PrefixHash {
+	var prefixes []dispatch.PrefixHash
+	for _, tokens := range dispatch.PrefixTokens {
+		length := tokens * bytesPerToken
 		if len(messages) < length {
 			break
 		}
 		hash := xxhash.Sum64(messages[:length]) ^ xxhash.Sum64String(model)
-		prefixes = append(prefixes, dispatch.Prefix{Hash: hash, Tokens: length / bytesPerToken})
+		prefixes = append(prefixes, dispatch.PrefixHash(hash))
 	}
 	return prefixes
 }
 
 func (j *chatJob) call(grant dispatch.Grant) endpoint.Call {
-	return endpoint.Call{RequestID: grant.ID.String(), Priority: j.rank, Fencing: uint64(grant.Fencing), Body: j.body}
+	return endpoint.Call{RequestID: grant.ID.String(), Priority: grant.Priority, Fencing: uint64(grant.Fencing), Body: j.body}
 }
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -131,3 +131,20 @@
 	config.Remote = true
 	return trace.NewSpanContext(config)
 }
+
+// webSocketHeaderBytes is the header of a masked WebSocket message of under 126
+// bytes (RFC 6455, section 5.2).
+const webSocketHeaderBytes = 6
+
+// FrameBytes returns the bytes that a payload takes on a connection.
+func FrameBytes(payload []byte, traced bool) int {
+	f := frame{Payload: payload}
+	if traced {
+		f.Trace = make([]byte, traceIDBytes+spanIDBytes)
+	}
+	encoded, err := cbor.Marshal(f)
+	if err != nil {
+		return 0
+	}
+	return len(encoded) + webSocketHeaderBytes
+}
