Tell not_run only when no earlier call with the key may have run

Cause: TestPromiseKilledAndStoppedFrontsRunNothingTwice was red: a front was killed after its call had run; the caller asked again with the same key, the second call got no reservation, and was told not_run before anybody had looked at the key's claim. The reservation had run.

Change: a keyed call that is not sent is told not_run only after the store showed that no earlier call with the key may have run. With the store down that cannot be known, so the word is outcome_unknown with a Retry-After and the call is not sent. Ruled out: remembering keys in daemons, which forget when they die.

Further faults found by the promise tests, each with its test: - Nothing looked at waiting requests when an endpoint's cooldown ended, so they waited out their target (a desk with one failed call refused the next after 2.0 s).

--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// Lookup returns the record of a key with its revision, 0 when there is none.
+func (c *Committer) Lookup(ctx context.Context, key Key) (Record, store.Revision, error) {
+	entry, err := c.store.Get(ctx, string(key))
+	if err != nil {
+		return Record{}, 0, errors.Newf("look up claim: %w", err)
+	}
+	if entry.Revision == 0 {
+		return Record{}, 0, nil
+	}
+	record, err := decodeRecord(entry.Value)
+	if err != nil {
+		return Record{}, 0, errors.Newf("decode claim: %w", err)
+	}
+	return record, entry.Revision, nil
+}
+
 // Serve commits until ctx ends.
 func (c *Committer) Serve(ctx context.Context) error {
 	defer close(c.done)
--- a/pkg/claim/keeper.go
+++ b/pkg/claim/keeper.go
@@ -97,6 +97,11 @@
 	return k.committer.Submit(ctx, write)
 }
 
+// Lookup reads the record of a key from the store, as Committer.Lookup does.
+func (k *Keeper) Lookup(ctx context.Context, key Key) (Record, store.Revision, error) {
+	return k.committer.Lookup(ctx, key)
+}
+
 // ask sends a write to another daemon and waits for its result.
 func (k *Keeper) ask(parent context.Context, host string, write Write) (Result, error) {
 	ctx, cancel := context.WithTimeout(parent, keeperTimeout)
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		d.finishRebuild(now, o)
-		if deadline, ok := o.planner.NextDeadline(); ok && !deadline.After(now) {
+		if o.planner.HasWaiting() {
 			d.send(o, o.planner.Tick(now, d.decisions[:0]))
 		}
 		d.audit(now, o)
@@ -44,7 +44,6 @@
 		return
 	}
 	o.lastAudit = now
-	d.send(o, o.planner.Tick(now, d.decisions[:0]))
 	questions := map[string][]RequestID{}
 	for _, hold := range o.planner.HeldBefore(now.Add(-auditPeriod)) {
 		questions[hold.Request.Front] = append(questions[hold.Request.Front], hold.Request.ID)
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -401,13 +401,9 @@
 	return p.schedule(now, decisions)
 }
 
-// NextDeadline returns the time at which the next waiting request has to be
-// refused; ok is false when none waits.
-func (p *Planner) NextDeadline() (deadline time.Time, ok bool) {
-	if len(p.queues.deadlines) == 0 {
-		return time.Time{}, false
-	}
-	return p.queues.deadlines[0].latestStart, true
+// HasWaiting reports whether a request waits, so that Tick may have to decide.
+func (p *Planner) HasWaiting() bool {
+	return len(p.queues.queued) > 0
 }
 
 func (h *hold) report() Hold {
--- a/pkg/front/chat_run.go
+++ b/pkg/front/chat_run.go
@@ -54,8 +54,13 @@
 	budget := f.budget(job.service)
 	budget.Earn()
 	exclude := ""
+	var failure error
 	for number := 1; ; number++ {
 		err := f.attemptChat(ctx, job, answer, &exclude, &served)
+		if failure != nil && isRefusal(err) {
+			return served, retryRefused(err)
+		}
+		failure = err
 		if err == nil {
 			f.clearSuspicion(job)
 			return served, nil
@@ -73,6 +78,22 @@
 	}
 }
 
+func isRefusal(err error) bool {
+	var refused *dispatch.RefusedError
+	return errors.As(err, &refused) || errors.Is(err, dispatch.ErrNoShard)
+}
+
+// retryRefused words the refusal of a retry: the request did not wait too long,
+// its endpoint failed and there is no other.
+func retryRefused(err error) error {
+	after := defaultRetryAfter
+	var refused *dispatch.RefusedError
+	if errors.As(err, &refused) {
+		after = refused.Refusal.RetryAfter
+	}
+	return newRetryFault(codeEndpointFailed, "the endpoint failed and no other can continue now", after)
+}
+
 // isRepeatable reports whether another endpoint may do better. Generating text
 // changes nothing, so a repeated attempt is safe.
 func isRepeatable(err error) bool {
--- a/pkg/front/plain.go
+++ b/pkg/front/plain.go
@@ -74,12 +74,13 @@
 	job.log.V(1).Info("plain request ended", "code", served.Code, "total", served.Total.String(), "retries", served.Retries)
 }
 
-// outcomeWord returns not_run, outcome_unknown, already_run or in_progress.
+// outcomeWord returns not_run, outcome_unknown, already_run or in_progress, or
+// the code of a call whose key belongs to another.
 func outcomeWord(f *fault) string {
 	switch f.code {
 	case codeOutcomeUnknown, codeEndpointFailed:
 		return string(codeOutcomeUnknown)
-	case codeAlreadyRun, codeInProgress:
+	case codeAlreadyRun, codeInProgress, codeKeyReused:
 		return string(f.code)
 	default:
 		return string(codeNotRun)
--- a/pkg/front/plain_keyed.go
+++ b/pkg/front/plain_keyed.go
@@ -59,12 +59,46 @@
 		}
 		return f.sendPlain(ctx, job, reservation)
 	})
-	if replay == nil && held.confirmed {
+	switch {
+	case held.confirmed:
 		f.recordEnd(held, answer, err)
+	case replay == nil && isCertainlyNotRun(err):
+		return f.confirmNotRun(ctx, held, err)
 	}
 	return answer, err
 }
 
+// lookupTimeout bounds the reading of a claim before a call is answered with
+// not_run.
+const lookupTimeout = time.Second
+
+// confirmNotRun answers a keyed call that was not sent. It is told not_run only
+// when the store shows that no earlier call with the key may have run.
+func (f *Front) confirmNotRun(ctx context.Context, held *heldClaim, refusal error) (endpoint.PlainAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	record, revision, err := f.config.Keeper.Lookup(ctx, held.key)
+	if err != nil {
+		return endpoint.PlainAnswer{}, newRetryFault(codeOutcomeUnknown,
+			"this call was not sent, but an earlier one with the key may have run; ask again with the same key", defaultRetryAfter)
+	}
+	if revision == 0 || record.Phase == claim.PhaseNotRun || record.Attempt == held.record.Attempt {
+		return endpoint.PlainAnswer{}, refusal
+	}
+	if record.Content != held.record.Content {
+		return endpoint.PlainAnswer{}, errKeyReused()
+	}
+	kept, err := f.answerStanding(record)
+	if err != nil {
+		return endpoint.PlainAnswer{}, err
+	}
+	return *kept, nil
+}
+
+func errKeyReused() *fault {
+	return newFault(codeKeyReused, "the Idempotency-Key belongs to another call")
+}
+
 func hashCall(call endpoint.PlainCall) uint64 {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(call.Method + "\n" + call.Path + "\n")
@@ -92,7 +126,7 @@
 			return nil, nil
 		}
 		if result.Current.Content != held.record.Content {
-			return nil, newFault(codeKeyReused, "the Idempotency-Key belongs to another call")
+			return nil, errKeyReused()
 		}
 		if result.Current.Phase != claim.PhaseNotRun || result.Revision == expect {
 			return f.answerStanding(result.Current)
--- a/pkg/ticket/apply.go
+++ b/pkg/ticket/apply.go
@@ -94,18 +94,22 @@
 	return nil
 }
 
+// objectTries bounds the writes of one object whose answers are lost.
+const objectTries = 5
+
 // writeObject writes under a key that no other attempt uses, so that repeating
 // it is idempotent.
 func writeObject(ctx context.Context, s *store.Store, put store.Put) error {
 	commit := store.Commit{Puts: []store.Put{put}}
-	_, err := s.Commit(ctx, commit)
-	if errors.Is(err, store.ErrOutcomeUnknown) {
-		_, err = s.Commit(ctx, commit)
-	}
-	if err != nil {
-		return errors.Newf("write object %s: %w", put.Key, err)
+	for try := 1; ; try++ {
+		_, err := s.Commit(ctx, commit)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, store.ErrOutcomeUnknown) || try >= objectTries || ctx.Err() != nil {
+			return errors.Newf("write object %s: %w", put.Key, err)
+		}
 	}
-	return nil
 }
 
 // successor returns the head after the ticket and the objects it needs.
