--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 # The rapid seed is fixed, so that every run gives the same verdict.
 prove: build
 	go test -race -count=1 -run TestPromise -v ./... 2>&1 | grep -E '^(=== NAME|--- |ok|FAIL|panic)|not in time'; test $${PIPESTATUS[0]} -eq 0
+
+scale: build
+	go run ./internal/scale $(BIN) $(SERIES)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -46,6 +46,8 @@
 	ShutdownTimeout time.Duration
 	// EngineFlags are added to each engine's command line.
 	EngineFlags []string
+	// Quiet turns off traces and the logs of single requests.
+	Quiet bool
 }
 
 // Process is one running program.
@@ -213,6 +215,9 @@
 	return p.command.Process.Signal(signal)
 }
 
+// ID returns the process identifier.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Kill ends the program at once and waits for its end.
 func (p *Process) Kill() {
 	_ = p.command.Process.Signal(syscall.SIGCONT)
@@ -303,14 +308,16 @@
 [limits]
 shutdown_timeout = %s
 
-[log]
-verbosity = 1
+%s`, d.Name, d.Zone, d.Address, d.Operator, d.Peer, s.Store.Address, s.Hosts.Address,
+		strings.Join(seeds, ", "), peerKey, OperatorToken, limit, s.observation(d))
+}
 
-[trace]
-exporter = file
-target = %s
-`, d.Name, d.Zone, d.Address, d.Operator, d.Peer, s.Store.Address, s.Hosts.Address,
-		strings.Join(seeds, ", "), peerKey, OperatorToken, limit, s.TracePath(d))
+// observation returns the sections for logs and traces.
+func (s *Site) observation(d *Process) string {
+	if s.Config.Quiet {
+		return ""
+	}
+	return fmt.Sprintf("[log]\nverbosity = 1\n\n[trace]\nexporter = file\ntarget = %s\n", s.TracePath(d))
 }
 
 // TracePath returns the file that a daemon writes its spans to.
--- a/internal/site/ticket.go
+++ b/internal/site/ticket.go
@@ -1,13 +1,16 @@
 package site
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/turmerictide/turmerictide/pkg/store"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
@@ -35,6 +38,41 @@
 	return t
 }
 
+// teamsPerGroup keeps the object of one group of callers well under the store's
+// largest value.
+const teamsPerGroup = 1000
+
+// TicketWithTeams returns the site's ticket with so many teams more, in groups.
+func (s *Site) TicketWithTeams(number ticket.Number, teams int) ticket.Ticket {
+	t := s.Ticket(number)
+	for i := range teams {
+		name := fmt.Sprint("group-", i/teamsPerGroup)
+		group := t.Callers[name]
+		team := fmt.Sprint("team-", i)
+		group.Teams = append(group.Teams, ticket.Team{Name: team, TokenSHA256: TokenHash(team), Ranks: []string{"standard"}})
+		t.Callers[name] = group
+	}
+	return t
+}
+
+// applyTimeout bounds the applying of a ticket.
+const applyTimeout = 30 * time.Second
+
+// Apply applies a ticket and requires that it is accepted.
+func (s *Site) Apply(t ticket.Ticket) error {
+	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	platform := store.NewGatewayStore([]string{"http://" + s.Store.Address.String()}, applyTimeout)
+	result, err := ticket.Apply(ctx, platform, t, fmt.Sprint("site-", t.Number))
+	if err != nil {
+		return errors.Newf("apply ticket %d: %w", t.Number, err)
+	}
+	if result.Verdict != ticket.VerdictAccepted {
+		return errors.Newf("ticket %d: %s", t.Number, result.Verdict)
+	}
+	return nil
+}
+
 func modelService() ticket.Service {
 	return ticket.Service{
 		Name: ModelService, Kind: ticket.KindModel, Models: []string{Model},
--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,193 @@
+package claim_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/turmerictide/turmerictide/pkg/claim"
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+// TestMain fixes the seed of the fuzz tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// fakeStore keeps entries in memory. Its failures are chosen by the test.
+type fakeStore struct {
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	revision store.Revision
+	commits  int
+	largest  int
+	// lose and refuse are the numbers of coming commits whose answer is lost
+	// after the write, or which are not made.
+	lose, refuse int
+}
+
+func (f *fakeStore) commit(_ context.Context, c store.Commit) (store.CommitResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse > 0 {
+		f.refuse--
+		return store.CommitResult{}, store.ErrUnavailable
+	}
+	f.commits++
+	result := store.CommitResult{Succeeded: true}
+	for _, compare := range c.Compares {
+		result.Succeeded = result.Succeeded && f.entries[compare.Key].Revision == compare.Revision
+	}
+	if result.Succeeded {
+		f.revision++
+		for _, put := range c.Puts {
+			f.largest = max(f.largest, len(put.Value))
+			f.entries[put.Key] = store.Entry{Key: put.Key, Value: put.Value, Revision: f.revision}
+		}
+	} else {
+		for _, key := range c.Otherwise {
+			if entry, ok := f.entries[key]; ok {
+				result.Current = append(result.Current, entry)
+			}
+		}
+	}
+	result.Revision = f.revision
+	if f.lose > 0 {
+		f.lose--
+		return store.CommitResult{}, store.ErrOutcomeUnknown
+	}
+	return result, nil
+}
+
+func newFakeStore() (*fakeStore, *store.Store) {
+	f := &fakeStore{entries: map[string]store.Entry{}}
+	return f, &store.Store{
+		Commit:     f.commit,
+		GrantLease: func(context.Context, time.Duration) (store.LeaseID, error) { return 1, nil },
+	}
+}
+
+func startCommitter(t interface{ Cleanup(func()) }, s *store.Store) *claim.Committer {
+	c := claim.NewCommitter(s, time.Now, time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = c.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-c.Done()
+	})
+	return c
+}
+
+func write(key, attempt string) claim.Write {
+	return claim.Write{Key: claim.NewKey("desk", "team", key), Record: claim.Record{Attempt: attempt, Phase: claim.PhaseClaimed}}
+}
+
+// TestPromiseOneWinnerForEachKey submits competing claims of a few keys through
+// several committers while answers are lost and commits refused.
+func TestPromiseOneWinnerForEachKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fake, s := newFakeStore()
+		fake.lose = rapid.IntRange(0, 4).Draw(t, "lose")
+		fake.refuse = rapid.IntRange(0, 2).Draw(t, "refuse")
+		committers := []*claim.Committer{startCommitter(t, s), startCommitter(t, s)}
+		keys := rapid.IntRange(1, 3).Draw(t, "keys")
+		attempts := rapid.IntRange(2, 12).Draw(t, "attempts")
+		var mu sync.Mutex
+		winners := map[string][]string{}
+		var wait sync.WaitGroup
+		for i := range attempts {
+			wait.Go(func() {
+				key, attempt := fmt.Sprint(i%keys), fmt.Sprint("attempt-", i)
+				result, err := committers[i%2].Submit(context.Background(), write(key, attempt))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && result.Written {
+					winners[key] = append(winners[key], attempt)
+				}
+				if err == nil && !result.Written && result.Current.Attempt == attempt {
+					t.Errorf("%s lost against itself", attempt)
+				}
+			})
+		}
+		wait.Wait()
+		for key, won := range winners {
+			if len(won) != 1 {
+				t.Fatalf("key %s was won by %v", key, won)
+			}
+		}
+	})
+}
+
+func TestPromiseWritesAreGrouped(t *testing.T) {
+	fake, s := newFakeStore()
+	c := claim.NewCommitter(s, time.Now, time.Millisecond)
+	const claims = 1000
+	var wait sync.WaitGroup
+	for i := range claims {
+		wait.Go(func() {
+			result, err := c.Submit(context.Background(), write(fmt.Sprint("key-", i), "a"))
+			require.NoError(t, err)
+			require.True(t, result.Written)
+		})
+	}
+	for c.Waiting() < claims {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.Serve(ctx) }()
+	wait.Wait()
+	// Each transaction takes up to 100 writes.
+	require.Equal(t, claims/100, fake.commits)
+	require.Less(t, fake.largest, 1<<20)
+}
+
+// TestWriteRateIsBounded holds the rate of all keepers together against its
+// target: one transaction a period for each bucket at most.
+func TestWriteRateIsBounded(t *testing.T) {
+	const target = 100.0
+	require.LessOrEqual(t, claim.Buckets/claim.CommitPeriod.Seconds(), target)
+}
+
+func TestNotRunClaimCanBeTakenOnce(t *testing.T) {
+	_, s := newFakeStore()
+	c := startCommitter(t, s)
+	first, err := c.Submit(t.Context(), write("k", "a"))
+	require.NoError(t, err)
+	notRun := write("k", "a")
+	notRun.Expect = first.Revision
+	notRun.Record.Phase = claim.PhaseNotRun
+	second, err := c.Submit(t.Context(), notRun)
+	require.NoError(t, err)
+	require.True(t, second.Written)
+	won := 0
+	for _, attempt := range []string{"b", "c"} {
+		again := write("k", attempt)
+		again.Expect = second.Revision
+		result, err := c.Submit(t.Context(), again)
+		require.NoError(t, err)
+		if result.Written {
+			won++
+		}
+	}
+	require.Equal(t, 1, won)
+}
+
+func TestBucketsAreInRange(t *testing.T) {
+	seen := map[int]bool{}
+	for i := range 400 {
+		seen[claim.NewKey("s", "t", fmt.Sprint(i)).Bucket()] = true
+	}
+	require.Len(t, seen, claim.Buckets)
+}
--- a/pkg/claim/committer.go
+++ b/pkg/claim/committer.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// CommitPeriod is the least time between two transactions of one committer.
+	// CommitPeriod is a daemon's period between two transactions.
 	CommitPeriod = 200 * time.Millisecond
 	// maxBatch bounds the writes of one transaction, below the 128 operations
 	// that the store's protocol allows by default.
@@ -39,18 +39,20 @@
 
 // Committer groups writes into transactions.
 type Committer struct {
-	store *store.Store
-	now   func() time.Time
-	queue chan *submission
-	done  chan struct{}
+	store  *store.Store
+	now    func() time.Time
+	period time.Duration
+	queue  chan *submission
+	done   chan struct{}
 
 	lease      store.LeaseID
 	leaseUntil time.Time
 }
 
-// NewCommitter returns a Committer for a store.
-func NewCommitter(s *store.Store, now func() time.Time) *Committer {
-	return &Committer{store: s, now: now, queue: make(chan *submission, queueWrites), done: make(chan struct{})}
+// NewCommitter returns a Committer for a store. Period is the least time between
+// the starts of two transactions.
+func NewCommitter(s *store.Store, now func() time.Time, period time.Duration) *Committer {
+	return &Committer{store: s, now: now, period: period, queue: make(chan *submission, queueWrites), done: make(chan struct{})}
 }
 
 // Done is closed when Serve has returned.
@@ -58,6 +60,11 @@
 	return c.done
 }
 
+// Waiting returns the number of writes that no transaction has taken yet.
+func (c *Committer) Waiting() int {
+	return len(c.queue)
+}
+
 // Submit makes a write in the next transaction and waits for its result. An
 // error that wraps store.ErrOutcomeUnknown, or the context's, leaves open
 // whether it was written.
@@ -116,7 +123,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(CommitPeriod - c.now().Sub(started)):
+		case <-time.After(c.period - c.now().Sub(started)):
 		}
 	}
 }
