Wake an idle daemon less often

A profile showed system calls and scheduling only: 50 looks a second at shards in which nothing waits, and a ping each second on links whose heartbeats notice a loss themselves.

Change: shards are looked at every 20 ms while a request waits and every 250 ms otherwise; a ping follows only messages whose loss nobody else notices. Ruled out: longer heartbeats, which would find a dead daemon later. The operator listener serves Go's profiles under its token.

The scale run now waits until all lists have one digest.

--- a/internal/scale/main.go
+++ b/internal/scale/main.go
@@ -39,6 +39,7 @@
 	{"daemons", measureDaemons},
 	{"rate", measureRate},
 	{"teams", measureTeams},
+	{"profile", profileIdle},
 }
 
 func run(binaries string, names []string) error {
@@ -90,24 +91,34 @@
 
 const convergeLimit = 90 * time.Second
 
-// waitConverged waits until all daemons know each other and have ticket 1.
+// waitConverged waits until all daemons hold the same list of daemons, each of
+// them alive, and have ticket 1 in force.
 func waitConverged(s *site.Site) error {
 	deadline := time.Now().Add(convergeLimit)
-	for _, d := range s.Daemons {
-		for {
-			status, err := statusOf(d)
-			if err == nil && status.Ticket >= 1 && countState(status, "alive") == len(s.Daemons) {
-				break
-			}
-			if time.Now().After(deadline) {
-				return errors.Newf("%s knows %d of %d daemons", d.Name, countState(status, "alive"), len(s.Daemons))
-			}
-			time.Sleep(100 * time.Millisecond)
+	for !isConverged(s) {
+		if time.Now().After(deadline) {
+			return errors.New("the daemons do not agree on their list")
 		}
+		time.Sleep(200 * time.Millisecond)
 	}
 	return nil
 }
 
+func isConverged(s *site.Site) bool {
+	digest := ""
+	for _, d := range s.Daemons {
+		status, err := statusOf(d)
+		if err != nil || status.Ticket < 1 || countState(status, "alive") != len(s.Daemons) {
+			return false
+		}
+		if digest != "" && digest != status.HostsDigest {
+			return false
+		}
+		digest = status.HostsDigest
+	}
+	return true
+}
+
 func countState(status operator.Status, state string) int {
 	count := 0
 	for _, host := range status.Hosts {
--- /dev/null
+++ b/internal/scale/profile.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/internal/site"
+)
+
+// profilePath is where profileIdle leaves the processor profile.
+const profilePath = "idle.pprof.out"
+
+// profileIdle takes a processor profile of one idle daemon among 28.
+func profileIdle(binaries string) error {
+	s, stop, err := startSite(binaries, 28, 10)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	request, err := http.NewRequest(http.MethodGet, "http://"+s.Daemons[5].Operator.String()+"/debug/pprof/profile?seconds=20", nil)
+	if err != nil {
+		return errors.Newf("build request: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+site.OperatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Newf("take profile: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	file, err := os.Create(profilePath)
+	if err != nil {
+		return errors.Newf("write profile: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := io.Copy(file, response.Body); err != nil {
+		return errors.Newf("write profile: %w", err)
+	}
+	fmt.Println("profile written to", profilePath)
+	return nil
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -102,6 +102,7 @@
 func (d *Daemon) buildLinks(self member.Member) error {
 	d.mesh = link.NewMesh(link.Config{
 		Host: self.Host, Keys: d.settings.Peers.Keys, Topics: topics,
+		Answered:    []string{member.TopicHeartbeat, member.TopicAcknowledge},
 		Resolve:     d.resolve,
 		Unreachable: d.unreachable,
 		Now:         d.now, Log: d.log.WithName("link"),
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"strconv"
+
 	"github.com/turmerictide/turmerictide/pkg/metric"
 	"github.com/turmerictide/turmerictide/pkg/operator"
 )
@@ -10,7 +12,8 @@
 	result := operator.Status{
 		Host: d.settings.Daemon.Host, AvailabilityZone: d.settings.Daemon.AvailabilityZone,
 		Ticket: d.follower.Number(), TicketSince: d.since.get(),
-		Serving: d.front.Serving(),
+		Serving:     d.front.Serving(),
+		HostsDigest: strconv.FormatUint(d.members.Digest(), 16),
 	}
 	if state := d.follower.Current(); state != nil {
 		result.TicketAttempt = state.Head.Attempt
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// tickPeriod spaces the refusals of requests that wait too long.
+	// tickPeriod spaces the looks at shards in which requests wait.
 	tickPeriod = 20 * time.Millisecond
+	// idlePeriod spaces them while none waits.
+	idlePeriod = 250 * time.Millisecond
 	// rebuildTimeout bounds the wait for the reports of fronts after a change
 	// of owner. Fronts that answer later are adopted then.
 	rebuildTimeout = 400 * time.Millisecond
@@ -68,6 +70,8 @@
 type Dispatcher struct {
 	config DispatcherConfig
 	done   chan struct{}
+	// busy wakes Serve when a request begins to wait.
+	busy chan struct{}
 
 	mu    sync.Mutex
 	all   map[ShardID]shard.Shard
@@ -107,7 +111,7 @@
 // NewDispatcher returns a Dispatcher that owns nothing yet.
 func NewDispatcher(config DispatcherConfig) *Dispatcher {
 	return &Dispatcher{
-		config: config, done: make(chan struct{}),
+		config: config, done: make(chan struct{}), busy: make(chan struct{}, 1),
 		all: map[ShardID]shard.Shard{}, owned: map[ShardID]*ownedShard{},
 		reportedLeaving: map[string]bool{}, listedLeaving: map[string]bool{},
 		unreadable: map[string]int{}, heard: map[uint32]time.Time{}, refusals: map[Cause]int64{},
@@ -127,15 +131,20 @@
 // Serve advances the Planners until ctx ends.
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	defer close(d.done)
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(idlePeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
-			d.tick(d.config.Now())
+		case <-d.busy:
+		case <-timer.C:
 		}
+		if d.tick(d.config.Now()) {
+			timer.Reset(tickPeriod)
+			continue
+		}
+		timer.Reset(idlePeriod)
 	}
 }
 
@@ -358,9 +367,24 @@
 	}
 	if o.isRebuilding(now) {
 		o.offers = append(o.offers, request)
-		return
+	} else {
+		d.send(o, o.planner.Offer(now, request, d.decisions[:0]))
+	}
+	if o.isBusy() {
+		d.wake()
+	}
+}
+
+// isBusy reports whether a request waits in the shard.
+func (o *ownedShard) isBusy() bool {
+	return len(o.offers) > 0 || o.planner.HasWaiting()
+}
+
+func (d *Dispatcher) wake() {
+	select {
+	case d.busy <- struct{}{}:
+	default:
 	}
-	d.send(o, o.planner.Offer(now, request, d.decisions[:0]))
 }
 
 // find returns the owned shard that knows a request, or nil.
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -13,10 +13,11 @@
 // accounts for, before the request is cancelled.
 const orphanGrace = 3 * time.Second
 
-// tick advances all owned shards.
-func (d *Dispatcher) tick(now time.Time) {
+// tick advances all owned shards and reports whether a request waits in one.
+func (d *Dispatcher) tick(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	busy := false
 	paused := !d.lastTick.IsZero() && now.Sub(d.lastTick) > pauseLimit
 	d.lastTick = now
 	for id, o := range d.owned {
@@ -34,7 +35,9 @@
 		}
 		d.audit(now, o)
 		d.tellPressure(now, o)
+		busy = busy || o.isBusy()
 	}
+	return busy
 }
 
 // audit asks fronts whether they still hold what was granted long ago, because
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -7,9 +7,9 @@
 // router. Delivery is at most once: a message to a peer that cannot be reached
 // is dropped, and whoever needs an answer has a timeout.
 //
-// A connection that is silent for longer than a ping takes is closed, and the
-// next message opens a new one, because a path can lose track of an open
-// connection while new ones work.
+// Messages are followed by a ping, within a second. A connection on which no
+// answer comes is closed and the next message opens a new one, because a path can
+// lose track of an open connection while new ones work.
 package link
 
 import (
@@ -29,7 +29,7 @@
 )
 
 const (
-	// PingPeriod is the silence after which a connection is pinged.
+	// PingPeriod spaces the pings that follow messages.
 	PingPeriod = time.Second
 	// PingTimeout is the time in which a ping must be answered.
 	PingTimeout = 1500 * time.Millisecond
--- a/pkg/link/mesh.go
+++ b/pkg/link/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	Keys Keys
 	// Topics lists all topics in the order of their codes.
 	Topics []string
+	// Answered lists the topics whose senders notice a lost message themselves
+	// and reset the connection. Messages of others are followed by a ping.
+	Answered []string
 	// Resolve returns the peer address of a host.
 	Resolve func(host string) (netip.AddrPort, bool)
 	// Unreachable is called when a new connection to a host could not be opened.
@@ -46,11 +50,13 @@
 type Mesh struct {
 	config Config
 	codes  map[string]uint8
-	inbox  []chan *message.Message
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-	client *http.Client
+	// answered is indexed by the codes of topics.
+	answered []bool
+	inbox    []chan *message.Message
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
+	client   *http.Client
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -77,6 +83,7 @@
 	for i, topic := range config.Topics {
 		m.codes[topic] = uint8(i)
 		m.inbox = append(m.inbox, make(chan *message.Message, inboxMessages))
+		m.answered = append(m.answered, slices.Contains(config.Answered, topic))
 	}
 	return m
 }
@@ -113,7 +120,7 @@
 		return errors.Newf("encode frame: %w", err)
 	}
 	select {
-	case m.peer(host).queue <- encoded:
+	case m.peer(host).queue <- outgoing{frame: encoded, answered: m.answered[code]}:
 		return nil
 	default:
 		m.droppedFrames.Add(1)
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -11,12 +11,19 @@
 	"github.com/coder/websocket"
 )
 
+// outgoing is an encoded frame that waits for its connection.
+type outgoing struct {
+	frame []byte
+	// answered is true when its sender notices the loss of the frame.
+	answered bool
+}
+
 // peer is the outgoing side of one connection. Frames flow one way on it; the
 // other daemon opens its own connection for its frames.
 type peer struct {
 	mesh      *Mesh
 	host      string
-	queue     chan []byte
+	queue     chan outgoing
 	connected atomic.Bool
 
 	mu     sync.Mutex
@@ -30,7 +37,7 @@
 	if p, ok := m.peers[host]; ok {
 		return p
 	}
-	p := &peer{mesh: m, host: host, queue: make(chan []byte, queueFrames)}
+	p := &peer{mesh: m, host: host, queue: make(chan outgoing, queueFrames)}
 	m.peers[host] = p
 	m.wait.Add(1)
 	go func() {
@@ -61,7 +68,7 @@
 }
 
 // converse sends frames over one connection until it fails or is idle.
-func (p *peer) converse(parent context.Context, first []byte) {
+func (p *peer) converse(parent context.Context, first outgoing) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	p.mu.Lock()
@@ -81,14 +88,15 @@
 	defer func() { _ = conn.CloseNow() }()
 	// The reader answers pings and sees the close; peers send no frames here.
 	ctx = conn.CloseRead(ctx)
-	if err := p.write(ctx, conn, first); err != nil {
+	if err := p.write(ctx, conn, first.frame); err != nil {
 		return
 	}
-	p.pump(ctx, conn)
+	p.pump(ctx, conn, !first.answered)
 }
 
-// pump writes queued frames, and pings when there are none.
-func (p *peer) pump(ctx context.Context, conn *websocket.Conn) {
+// pump writes queued frames. A ping follows the frames whose loss nobody else
+// would notice; unproved is true while one of them may be lost.
+func (p *peer) pump(ctx context.Context, conn *websocket.Conn, unproved bool) {
 	ticker := time.NewTicker(PingPeriod)
 	defer ticker.Stop()
 	idle := time.Duration(0)
@@ -96,9 +104,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case encoded := <-p.queue:
+		case next := <-p.queue:
 			idle = 0
-			if err := p.write(ctx, conn, encoded); err != nil {
+			unproved = unproved || !next.answered
+			if err := p.write(ctx, conn, next.frame); err != nil {
 				return
 			}
 		case <-ticker.C:
@@ -106,6 +115,10 @@
 			if idle >= IdleTimeout {
 				return
 			}
+			if !unproved {
+				continue
+			}
+			unproved = false
 			if err := ping(ctx, conn); err != nil {
 				p.mesh.config.Log.V(1).Info("peer connection is silent", "host", p.host)
 				return
--- a/pkg/member/service.go
+++ b/pkg/member/service.go
@@ -242,6 +242,13 @@
 	return s.table.Members()
 }
 
+// Digest returns a hash over the list of daemons.
+func (s *Service) Digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Digest()
+}
+
 // Member returns what is known of one daemon.
 func (s *Service) Member(host string) (Member, bool) {
 	s.mu.Lock()
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
@@ -26,8 +27,10 @@
 	Ready            bool          `json:"ready"`
 	Serving          int           `json:"serving"`
 	Hosts            []Host        `json:"hosts"`
-	Shards           []Shard       `json:"shards"`
-	Traffic          Traffic       `json:"traffic"`
+	// HostsDigest is equal on daemons that hold the same list of daemons.
+	HostsDigest string  `json:"hosts_digest"`
+	Shards      []Shard `json:"shards"`
+	Traffic     Traffic `json:"traffic"`
 }
 
 // Host is a daemon as another one sees it.
@@ -86,6 +89,7 @@
 		guarded.Get(PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, config.Status()) })
 		guarded.Get(PathState, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, newStateView(config.State())) })
 		guarded.Handle(PathMetrics, config.Metrics)
+		guarded.Mount("/debug", middleware.Profiler())
 	})
 	return router
 }
