Pass a fact about a daemon on once, whoever spreads it

Cause: a fact learned by comparing lists was spread as a new rumour of the one who learned it, and rumours were told apart by their origin. With 100 daemons starting together each fact was flooded up to 100 times: 724 MB in the first minute, the processor full, heartbeats late, suspicions and refutations without end.

Change: a fact is passed on only while it is news to the table of the receiver. Ruled out: larger queues, which only carried more of the same. Peers that nothing is sent to are forgotten after 30 s and their queue holds 512 frames instead of 4,096, which were 131 KB for each host ever spoken to; teams share their list of ranks and leave their digest out; the collector runs at half of Go's default growth. A request waits for its dispatcher no longer than its first-token target.

--- a/internal/site/process_test.go
+++ b/internal/site/process_test.go
@@ -115,6 +115,23 @@
 	requireWhole(t, post(t.Context(), t, chatURL(owner), chatBody("restarted", 5, true), call{}), "restarted", 5)
 }
 
+func TestSilentDispatchersDoNotHoldARequestBack(t *testing.T) {
+	s := start(t, site.Config{Zones: []string{"shubra"}, DaemonsPerZone: 3})
+	front := s.Daemons[0]
+	for _, d := range s.Daemons[1:] {
+		require.NoError(t, d.Signal(syscall.SIGSTOP))
+	}
+	// The front serves alone, or says at once when to come back.
+	eventually(t, "the front serves alone", func() bool {
+		a := post(t.Context(), t, chatURL(front), chatBody("alone", 5, true), call{})
+		require.True(t, a.whole || a.retryAfter != "", "status %d code %q", a.status, a.code)
+		return a.whole
+	})
+	for _, d := range s.Daemons[1:] {
+		require.NoError(t, d.Signal(syscall.SIGCONT))
+	}
+}
+
 func TestSecondSignalEndsShutdownAndSaysWhatWasCut(t *testing.T) {
 	s := start(t, site.Config{Zones: []string{"shubra"}, TokenGap: 20 * time.Millisecond})
 	d := s.Daemons[0]
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -54,6 +55,10 @@
 	return logr.FromSlogHandler(handler)
 }
 
+// collectPercent makes the garbage collector run at half the growth of Go's
+// default, since control has 64 MB on an entry host.
+const collectPercent = 50
+
 // flushTimeout bounds the export of the last spans.
 const flushTimeout = 3 * time.Second
 
@@ -62,6 +67,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectPercent)
 	log := newLog(stderr, config.Log.Verbosity).WithValues("host", config.Daemon.Host, "availability_zone", config.Daemon.AvailabilityZone)
 	flush, err := trace.Install(ctx, config.Trace, config.Daemon)
 	if err != nil {
--- a/pkg/command/verb_ticket.go
+++ b/pkg/command/verb_ticket.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
+	"github.com/turmerictide/turmerictide/pkg/store"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
@@ -19,6 +20,7 @@
 		Commands: []*cli.Command{
 			{Name: "check", Usage: "print all faults of a ticket", ArgsUsage: "FILE", Action: checkTicket},
 			{Name: "apply", Usage: "apply a ticket: accepted whole, or not at all", ArgsUsage: "FILE", Action: applyTicket},
+			{Name: "diff", Usage: "print what a ticket would change", ArgsUsage: "FILE", Action: diffTicket},
 			{Name: "show", Usage: "print the head in force in the store", Action: showTicket},
 			{Name: "status", Usage: "print where a ticket is in force", ArgsUsage: "NUMBER", Action: ticketStatus},
 		},
@@ -58,6 +60,11 @@
 	if err != nil {
 		return err
 	}
+	return applyNow(ctx, c, s, t)
+}
+
+// applyNow applies a ticket and words its verdict.
+func applyNow(ctx context.Context, c *cli.Command, s *store.Store, t ticket.Ticket) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Root().Duration("timeout"))
 	defer cancel()
 	result, err := ticket.Apply(ctx, s, t, uuid.NewString())
@@ -74,6 +81,30 @@
 	return err
 }
 
+func diffTicket(ctx context.Context, c *cli.Command) error {
+	t, err := readTicket(c)
+	if err != nil {
+		return err
+	}
+	s, err := openStore(c)
+	if err != nil {
+		return err
+	}
+	state, err := ticket.ReadState(ctx, s)
+	if err != nil {
+		return err
+	}
+	changes, err := t.Changes(state)
+	if err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, change := range changes {
+		rows = append(rows, []any{change.Object, change.Kind})
+	}
+	return output(c, changes, []any{"OBJECT", "CHANGE"}, rows)
+}
+
 func showTicket(ctx context.Context, c *cli.Command) error {
 	s, err := openStore(c)
 	if err != nil {
--- /dev/null
+++ b/pkg/dispatch/planner_events.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// Offer queues a request and appends the decisions that follow. A request that
+// is already known is ignored, so that a repeated message is harmless.
+func (p *Planner) Offer(now time.Time, request Request, decisions []Decision) []Decision {
+	if p.knows(request.ID) {
+		return decisions
+	}
+	request.Rank = min(max(request.Rank, 0), len(p.queues.ranks)-1)
+	queue := p.queues.ranks[request.Rank]
+	queue.arrivals.add(now)
+	p.countFree(now)
+	latest := request.Arrival.Add(queue.targets.firstToken - p.leastTime(request))
+	if cause := p.unfit(request, latest); cause != "" {
+		return append(decisions, p.refuse(now, request, cause))
+	}
+	if p.predictWait(now, request) > latest.Sub(now) {
+		return append(decisions, p.refuse(now, request, CauseTooLate))
+	}
+	if len(p.queues.queued) >= maxQueued {
+		return append(decisions, p.refuse(now, request, CauseQueueFull))
+	}
+	p.queues.push(&waiting{request: request, latestStart: latest, deadlineIndex: -1})
+	return p.schedule(now, decisions)
+}
+
+func (p *Planner) knows(id RequestID) bool {
+	if _, ok := p.holds[id]; ok {
+		return true
+	}
+	_, ok := p.queues.queued[id]
+	return ok
+}
+
+func (p *Planner) refuse(now time.Time, request Request, cause Cause) Decision {
+	return Decision{Refusal: Refusal{
+		ID: request.ID, Front: request.Front, Cause: cause, RetryAfter: p.retryAfter(now, request),
+	}}
+}
+
+// unfit returns why no endpoint can serve the request before latest, or "".
+func (p *Planner) unfit(request Request, latest time.Time) Cause {
+	prefill := p.service.Kind == ticket.KindPlain
+	for _, e := range p.prefill {
+		prefill = prefill || (e.isUsable() && e.health.coolUntil.Before(latest) && e.endpoint.Name != request.Exclude)
+	}
+	decode, large := false, false
+	pieces := Pieces(request.PromptTokens, request.OutputTokens)
+	for _, e := range p.decode {
+		if !e.isUsable() || !e.health.coolUntil.Before(latest) || e.endpoint.Name == request.Exclude {
+			continue
+		}
+		decode = true
+		large = large || e.endpoint.Pieces == 0 || pieces <= e.endpoint.Pieces
+	}
+	switch {
+	case !prefill || !decode:
+		return CauseNoEndpoint
+	case !large:
+		return CauseTooLarge
+	}
+	return ""
+}
+
+// leastTime returns the time from the grant to the first token when nothing is
+// in the way.
+func (p *Planner) leastTime(request Request) time.Duration {
+	best := 0.0
+	for _, e := range p.prefill {
+		if e.isUsable() {
+			best = max(best, e.tokensPerSecond())
+		}
+	}
+	if best == 0 {
+		return 0
+	}
+	return time.Duration(float64(request.PromptTokens)/best*float64(time.Second)) + p.queues.ranks[request.Rank].targets.gap
+}
+
+// Withdraw removes a request whose caller is gone while it waits. It reports
+// whether the request was waiting.
+func (p *Planner) Withdraw(id RequestID) bool {
+	w, ok := p.queues.queued[id]
+	if !ok {
+		return false
+	}
+	p.clearSaved(w)
+	return p.queues.remove(id)
+}
+
+// Prefilled notes that the prefill of a request is complete. Its prefill place
+// becomes free.
+func (p *Planner) Prefilled(now time.Time, id RequestID, decisions []Decision) []Decision {
+	h, ok := p.holds[id]
+	if !ok || h.stage != StagePrefill {
+		return decisions
+	}
+	p.measurePrefill(now, h)
+	p.leavePrefill(now, h)
+	h.stage = StageTransfer
+	return p.schedule(now, decisions)
+}
+
+// measurePrefill takes the rate from a prefill that had the endpoint to itself.
+func (p *Planner) measurePrefill(now time.Time, h *hold) {
+	h.prefill.health.succeed()
+	elapsed := now.Sub(h.grantedAt).Seconds()
+	alone := h.prefill.outstanding == 1 && h.prefill.busySince.Equal(h.grantedAt)
+	if alone && elapsed > 0 && h.prefillTokens >= minMeasuredTokens {
+		h.prefill.rate.add(h.prefillTokens / elapsed)
+	}
+}
+
+// minMeasuredTokens is the least prefill from which a rate is taken.
+const minMeasuredTokens = 256
+
+func (p *Planner) leavePrefill(now time.Time, h *hold) {
+	h.prefill.release(now, h.priority, h.prefillTokens)
+	h.prefill.suspects -= suspicion(h.request)
+	for _, prefix := range h.request.Prefixes {
+		h.prefill.prefixes.add(prefix)
+	}
+}
+
+// Started notes that the decode endpoint produces tokens. The link becomes free.
+func (p *Planner) Started(now time.Time, id RequestID, decisions []Decision) []Decision {
+	h, ok := p.holds[id]
+	if !ok || h.stage == StageDecode {
+		return decisions
+	}
+	if h.stage == StagePrefill && h.prefill != nil {
+		p.leavePrefill(now, h)
+	}
+	p.leaveLink(h)
+	h.stage = StageDecode
+	h.decodeAt = now
+	return p.schedule(now, decisions)
+}
+
+func (p *Planner) leaveLink(h *hold) {
+	if h.prefill == nil {
+		return
+	}
+	h.prefill.link.release(h.bytes)
+	if h.decode.link != h.prefill.link {
+		h.decode.link.release(h.bytes)
+	}
+}
+
+// Done releases all that a request still holds, on every way out. A second call
+// for the same request changes nothing.
+func (p *Planner) Done(now time.Time, id RequestID, outcome Outcome, decisions []Decision) []Decision {
+	h, ok := p.holds[id]
+	if !ok {
+		if p.Withdraw(id) {
+			return p.schedule(now, decisions)
+		}
+		return decisions
+	}
+	delete(p.holds, id)
+	if h.stage == StagePrefill && h.prefill != nil {
+		p.leavePrefill(now, h)
+	}
+	if h.stage != StageDecode {
+		p.leaveLink(h)
+	}
+	h.decode.used--
+	h.decode.pieces -= h.pieces
+	h.decode.suspects -= suspicion(h.request)
+	p.measureOutcome(now, h, outcome)
+	p.dropAbsent()
+	return p.schedule(now, decisions)
+}
+
+func (p *Planner) measureOutcome(now time.Time, h *hold, outcome Outcome) {
+	h.decode.health.settle()
+	if h.prefill != nil {
+		h.prefill.health.settle()
+	}
+	p.markFailure(now, h, outcome)
+	if outcome.FailedEndpoint != "" {
+		return
+	}
+	h.decode.health.succeed()
+	if h.stage != StageDecode {
+		return
+	}
+	p.holdTime.add(now.Sub(h.grantedAt).Seconds())
+	p.promptWork.add(h.prefillTokens)
+	if p.service.Kind == ticket.KindPlain || outcome.OutputTokens == 0 {
+		return
+	}
+	rank := p.queues.ranks[h.request.Rank]
+	rank.output.add(float64(outcome.OutputTokens))
+	rank.slack.add((rank.targets.firstToken - p.leastTime(h.request)).Seconds())
+	actual := h.prefillTokens + outputTokenWork*float64(outcome.OutputTokens)
+	rank.fair.correct(h.request.Caller, actual-h.work)
+	p.queues.settleCredits(h.request.Rank, actual-h.work)
+	if outcome.OutputTokens > 1 {
+		gap := now.Sub(h.decodeAt) / time.Duration(outcome.OutputTokens-1)
+		h.decode.measure(now, gap, p.queues.ranks[0].targets.gap)
+	}
+}
+
+func (p *Planner) markFailure(now time.Time, h *hold, outcome Outcome) {
+	if outcome.FailedEndpoint == "" {
+		return
+	}
+	if h.prefill != nil && outcome.FailedEndpoint == h.prefill.endpoint.Name && !outcome.Busy {
+		h.prefill.health.fail(now)
+	}
+	if outcome.FailedEndpoint != h.decode.endpoint.Name {
+		return
+	}
+	if outcome.Busy {
+		h.decode.busyUntil = now.Add(busyPause)
+		return
+	}
+	h.decode.health.fail(now)
+}
+
+// Tick refuses what can no longer meet its target and grants what has become
+// possible by the passing of time.
+func (p *Planner) Tick(now time.Time, decisions []Decision) []Decision {
+	return p.schedule(now, decisions)
+}
--- /dev/null
+++ b/pkg/dispatch/planner_report.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// HasWaiting reports whether a request waits, so that Tick may have to decide.
+func (p *Planner) HasWaiting() bool {
+	return len(p.queues.queued) > 0
+}
+
+// HeldBefore returns the holds that were granted before a time.
+func (p *Planner) HeldBefore(before time.Time) []Hold {
+	var holds []Hold
+	for _, h := range p.holds {
+		if h.grantedAt.Before(before) {
+			holds = append(holds, h.report())
+		}
+	}
+	return holds
+}
+
+// Holds reports whether a request is granted and not yet done.
+func (p *Planner) Holds(id RequestID) bool {
+	_, ok := p.holds[id]
+	return ok
+}
+
+// Load is a summary of a shard for operators.
+type Load struct {
+	Queued      int
+	Held        int
+	DecodeUsed  int
+	DecodeLimit int
+	PiecesUsed  int
+	PiecesLimit int
+}
+
+// Load returns the present summary.
+func (p *Planner) Load() Load {
+	load := Load{Queued: len(p.queues.queued), Held: len(p.holds), DecodeLimit: p.decodeLimit()}
+	for _, e := range p.decode {
+		load.DecodeUsed += e.used
+		load.PiecesUsed += e.pieces
+		load.PiecesLimit += e.endpoint.Pieces
+	}
+	return load
+}
+
+// Pressure is the predicted wait of the least urgent rank in 1/64 of its
+// target, at most MaxPressure.
+type Pressure uint8
+
+// MaxPressure stands for any wait of almost four targets or more, and for a
+// shard without endpoints.
+const MaxPressure Pressure = 255
+
+const pressureUnit = 64
+
+// Pressure returns the shard's pressure.
+func (p *Planner) Pressure(now time.Time) Pressure {
+	p.countFree(now)
+	last := len(p.queues.ranks) - 1
+	target := p.queues.ranks[last].targets.firstToken
+	if p.unfit(Request{Rank: last}, now.Add(target)) != "" {
+		return MaxPressure
+	}
+	wait := p.predictWait(now, Request{Rank: last})
+	if target <= 0 {
+		return 0
+	}
+	return Pressure(min(float64(wait)/float64(target)*pressureUnit, float64(MaxPressure)))
+}
--- a/pkg/front/chat_run.go
+++ b/pkg/front/chat_run.go
@@ -15,6 +15,7 @@
 	"github.com/turmerictide/turmerictide/pkg/endpoint"
 	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/retry"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
 const (
@@ -127,7 +128,7 @@
 		request.ID = f.config.Client.NewRequestID()
 		request.Arrival = f.config.Now()
 	}
-	reservation, err := f.acquire(ctx, job.service.Name, request)
+	reservation, err := f.acquire(ctx, job.service, request)
 	if err != nil {
 		return err
 	}
@@ -143,10 +144,15 @@
 	return err
 }
 
-func (f *Front) acquire(ctx context.Context, service string, request dispatch.Request) (*dispatch.Reservation, error) {
+// acquire waits for a reservation, at most until the first-token target has
+// passed: a dispatcher that does not answer must not hold a request back.
+func (f *Front) acquire(ctx context.Context, service ticket.Service, request dispatch.Request) (*dispatch.Reservation, error) {
 	ctx, span := tracer.Start(ctx, "front acquire")
 	defer span.End()
-	reservation, err := f.config.Client.Acquire(ctx, service, request)
+	left := time.Duration(service.Ranks[request.Rank].FirstTokenTarget) - f.config.Now().Sub(request.Arrival)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	reservation, err := f.config.Client.Acquire(ctx, service.Name, request)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 	}
--- a/pkg/front/plain.go
+++ b/pkg/front/plain.go
@@ -212,7 +212,7 @@
 		request.ID = f.config.Client.NewRequestID()
 		request.Arrival = f.config.Now()
 	}
-	reservation, err := f.acquire(ctx, job.service.Name, request)
+	reservation, err := f.acquire(ctx, job.service, request)
 	if err != nil {
 		return endpoint.PlainAnswer{}, "", err
 	}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -35,12 +35,13 @@
 	PingTimeout = 1500 * time.Millisecond
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout = 1500 * time.Millisecond
-	// IdleTimeout closes a connection that carried no message.
-	IdleTimeout = 2 * time.Minute
+	// IdleTimeout closes a connection that carried no message, and then forgets its
+	// peer.
+	IdleTimeout = 30 * time.Second
 	// MaxFrameBytes bounds one frame.
 	MaxFrameBytes = 1 << 20
 	// queueFrames bounds the frames that wait for one connection.
-	queueFrames = 4096
+	queueFrames = 512
 )
 
 // ErrQueueFull reports that a peer takes messages too slowly.
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -160,3 +160,30 @@
 		_ = link.Decode(payload, &value)
 	})
 }
+
+// BenchmarkMessage is one message from one mesh to another over loopback, with
+// the work of both ends.
+func BenchmarkMessage(b *testing.B) {
+	receiver := link.NewMesh(link.Config{Host: "b", Keys: link.Keys{"key"}, Topics: []string{topic}, Now: time.Now, Log: logr.Discard()})
+	server := httptest.NewServer(receiver)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	sender := link.NewMesh(link.Config{
+		Host: "a", Keys: link.Keys{"key"}, Topics: []string{topic}, Now: time.Now, Log: logr.Discard(),
+		Resolve:     func(string) (netip.AddrPort, bool) { return address, true },
+		Unreachable: func(string) {},
+	})
+	messages, err := receiver.Subscribe(b.Context(), topic)
+	require.NoError(b, err)
+	payload, err := link.Encode([]int{1, 2, 3, 4})
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		require.NoError(b, sender.Publish(topic, link.NewMessage("b", payload, trace.SpanContext{})))
+		m := <-messages
+		m.Ack()
+	}
+	require.NoError(b, sender.Close())
+	require.NoError(b, receiver.Close())
+	server.CloseClientConnections()
+	server.Close()
+}
--- a/pkg/link/mesh.go
+++ b/pkg/link/mesh.go
@@ -119,6 +119,8 @@
 	if err != nil {
 		return errors.Newf("encode frame: %w", err)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	select {
 	case m.peer(host).queue <- outgoing{frame: encoded, answered: m.answered[code]}:
 		return nil
@@ -128,6 +130,17 @@
 	}
 }
 
+// forget removes a peer that nothing waits for, and reports whether it did.
+func (m *Mesh) forget(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(p.queue) > 0 {
+		return false
+	}
+	delete(m.peers, p.host)
+	return true
+}
+
 // Subscribe returns the messages of a topic in the order of their arrival: the
 // next message follows when the one before is acknowledged. A topic has one
 // subscriber.
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -30,10 +30,9 @@
 	cancel context.CancelFunc
 }
 
-// peer returns the peer of a host and starts its writer on first use.
+// peer returns the peer of a host and starts its writer on first use. The caller
+// holds the lock.
 func (m *Mesh) peer(host string) *peer {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if p, ok := m.peers[host]; ok {
 		return p
 	}
@@ -55,7 +54,8 @@
 	}
 }
 
-// run opens a connection for each run of frames.
+// run opens a connection for each run of frames, and ends when there were none
+// for long.
 func (p *peer) run(ctx context.Context) {
 	for {
 		select {
@@ -63,6 +63,10 @@
 			return
 		case first := <-p.queue:
 			p.converse(ctx, first)
+		case <-time.After(IdleTimeout):
+			if p.mesh.forget(p) {
+				return
+			}
 		}
 	}
 }
--- a/pkg/member/service_messages.go
+++ b/pkg/member/service_messages.go
@@ -176,39 +176,52 @@
 	if err := link.Decode(m.Payload, &rumour); err != nil {
 		return nil
 	}
+	if !s.isNews(rumour) {
+		return nil
+	}
 	s.mu.Lock()
-	fresh := s.remember(rumourID{origin: rumour.Origin, serial: rumour.Serial})
 	hosts := s.floodHosts(link.Host(m))
 	s.mu.Unlock()
-	if !fresh {
-		return nil
-	}
 	for _, host := range hosts {
 		s.send(host, TopicRumour, rumour)
 	}
-	s.read(rumour)
 	return nil
 }
 
-func (s *Service) read(rumour wireRumour) {
-	if RumourKind(rumour.Kind) != RumourMember {
-		if receiver, ok := s.receivers[RumourKind(rumour.Kind)]; ok {
-			receiver(rumour.Origin, rumour.Payload)
-		}
-		return
+// isNews takes a rumour and reports whether it is to be passed on. A fact about
+// a daemon is passed on only while it is news here, whoever spreads it, so that
+// it crosses each link once however many daemons learn it by comparing lists.
+func (s *Service) isNews(rumour wireRumour) bool {
+	if RumourKind(rumour.Kind) == RumourMember {
+		return s.hearMember(rumour.Payload)
+	}
+	s.mu.Lock()
+	fresh := s.remember(rumourID{origin: rumour.Origin, serial: rumour.Serial})
+	s.mu.Unlock()
+	receiver, ok := s.receivers[RumourKind(rumour.Kind)]
+	if fresh && ok {
+		receiver(rumour.Origin, rumour.Payload)
 	}
+	return fresh
+}
+
+// hearMember merges a fact. A suspicion of this daemon is refuted instead of
+// being passed on.
+func (s *Service) hearMember(payload []byte) bool {
 	var wire wireMember
-	if err := link.Decode(rumour.Payload, &wire); err != nil {
-		return
+	if err := link.Decode(payload, &wire); err != nil {
+		return false
 	}
 	s.mu.Lock()
 	news, ok := s.table.Observe(s.config.Now(), decodeMember(wire))
-	refutation := ok && news.Host == s.config.Self.Host
 	s.mu.Unlock()
-	if refutation {
-		s.spreadMember(news)
+	if !ok {
+		return false
 	}
-	if ok {
-		s.config.Changed()
+	s.config.Changed()
+	if news.Host == s.config.Self.Host {
+		s.spreadMember(news)
+		return false
 	}
+	return true
 }
--- a/pkg/ticket/apply.go
+++ b/pkg/ticket/apply.go
@@ -66,13 +66,9 @@
 
 // checkSuccessor refuses a ticket whose whole resulting state is inconsistent.
 func (t Ticket) checkSuccessor(ctx context.Context, s *store.Store, current Head) error {
-	values := map[ObjectName][]byte{}
-	for name, version := range current.Objects {
-		entry, err := s.Get(ctx, ObjectKey(name, version))
-		if err != nil {
-			return errors.Newf("read %s: %w", name, err)
-		}
-		values[name] = entry.Value
+	values, err := readValues(ctx, s, current)
+	if err != nil {
+		return err
 	}
 	for _, name := range t.Remove {
 		delete(values, ObjectName(name))
--- a/pkg/ticket/state.go
+++ b/pkg/ticket/state.go
@@ -18,10 +18,18 @@
 
 	values   map[ObjectName][]byte
 	models   map[string]string
-	teams    map[[sha256.Size]byte]Team
+	teams    map[[sha256.Size]byte]team
+	ranks    map[string][]string
 	services []string
 }
 
+// team is a Team as it is kept: without its digest, which is its key, and with
+// one slice for all teams of the same ranks.
+type team struct {
+	name  string
+	ranks []string
+}
+
 // NewState builds a state from a head and the encoded value of each object.
 func NewState(head Head, values map[ObjectName][]byte) (*State, error) {
 	s := &State{
@@ -30,7 +38,8 @@
 		Pools:    map[string]Pool{},
 		values:   values,
 		models:   map[string]string{},
-		teams:    map[[sha256.Size]byte]Team{},
+		teams:    map[[sha256.Size]byte]team{},
+		ranks:    map[string][]string{},
 	}
 	for name, value := range values {
 		if err := s.add(name, value); err != nil {
@@ -73,16 +82,25 @@
 	if err := json.Unmarshal(value, &group); err != nil {
 		return errors.Newf("decode %s: %w", name, err)
 	}
-	for _, team := range group.Teams {
+	for _, member := range group.Teams {
 		var digest [sha256.Size]byte
-		if _, err := hex.Decode(digest[:], []byte(team.TokenSHA256)); err != nil {
-			return errors.Newf("decode token digest of %s: %w", team.Name, err)
+		if _, err := hex.Decode(digest[:], []byte(member.TokenSHA256)); err != nil {
+			return errors.Newf("decode token digest of %s: %w", member.Name, err)
 		}
-		s.teams[digest] = team
+		s.teams[digest] = team{name: member.Name, ranks: s.sharedRanks(member.Ranks)}
 	}
 	return nil
 }
 
+func (s *State) sharedRanks(ranks []string) []string {
+	key := strings.Join(ranks, "\n")
+	if shared, ok := s.ranks[key]; ok {
+		return shared
+	}
+	s.ranks[key] = ranks
+	return ranks
+}
+
 // Check returns the faults that only the whole state shows, or nil.
 func (s *State) Check() error {
 	c := &checker{}
@@ -127,8 +145,8 @@
 
 // TeamOfToken returns the team whose bearer token this is.
 func (s *State) TeamOfToken(token string) (Team, bool) {
-	team, ok := s.teams[sha256.Sum256([]byte(token))]
-	return team, ok
+	kept, ok := s.teams[sha256.Sum256([]byte(token))]
+	return Team{Name: kept.name, Ranks: kept.ranks}, ok
 }
 
 // Teams returns the number of teams.
--- a/pkg/ticket/ticket_test.go
+++ b/pkg/ticket/ticket_test.go
@@ -111,6 +111,27 @@
 	require.NotContains(t, follower.Current().Pools, "booking-desk-maadi")
 }
 
+func TestDrainChangesOnePool(t *testing.T) {
+	s, _ := newStore(t)
+	_, err := ticket.Apply(t.Context(), s, loadExample(t, cairo), "a")
+	require.NoError(t, err)
+	state, err := ticket.ReadState(t.Context(), s)
+	require.NoError(t, err)
+	next, err := state.WithLeaving("decode-shubra-2", true)
+	require.NoError(t, err)
+	changes, err := next.Changes(state)
+	require.NoError(t, err)
+	require.Equal(t, []ticket.Change{{Object: "pool/cone-assistant-decode-shubra", Kind: ticket.ChangeChanged}}, changes)
+	result, err := ticket.Apply(t.Context(), s, next, "b")
+	require.NoError(t, err)
+	require.Equal(t, ticket.VerdictAccepted, result.Verdict)
+	state, err = ticket.ReadState(t.Context(), s)
+	require.NoError(t, err)
+	require.True(t, state.Pools["cone-assistant-decode-shubra"].Endpoints[1].Leaving)
+	_, err = state.WithLeaving("nowhere", true)
+	require.ErrorContains(t, err, "nowhere")
+}
+
 func TestInconsistentResultIsRefused(t *testing.T) {
 	s, _ := newStore(t)
 	_, err := ticket.Apply(t.Context(), s, loadExample(t, cairo), "a")
