--- a/pkg/ticket/ticket_test.go
+++ b/pkg/ticket/ticket_test.go
@@ -139,3 +139,15 @@
 	_, err = ticket.Apply(t.Context(), s, ticket.Ticket{Number: 2, Remove: []string{"service/cone-assistant"}}, "b")
 	require.ErrorContains(t, err, "no service \"cone-assistant\"")
 }
+
+func FuzzParse(f *testing.F) {
+	content, err := os.ReadFile(cairo)
+	require.NoError(f, err)
+	f.Add(content)
+	f.Add([]byte(`{"number":1,"remove":["pool/x"]}`))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		if parsed, err := ticket.Parse(content); err == nil {
+			_ = parsed.Check()
+		}
+	})
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,6 +41,8 @@
 	ReportLag time.Duration
 	// ChecksFencing makes the engine refuse orders with an old fencing number.
 	ChecksFencing bool
+	// OrderToken must come with orders unless it is empty.
+	OrderToken string
 }
 
 // Switches are the failures that can be turned on.
@@ -68,6 +70,7 @@
 	Running       int `json:"running"`
 	UsedPieces    int `json:"used_pieces"`
 	Exports       int `json:"exports"`
+	Orders        int `json:"orders"`
 }
 
 // running is one request in decode.
@@ -103,6 +106,8 @@
 	report   loadReport
 	reportAt time.Time
 	cached   map[string]bool
+	events   []cacheEvent
+	orders   []order
 	done     chan struct{}
 }
 
@@ -143,6 +148,8 @@
 	router.Get("/v1/kv/{id}", e.serveFetch)
 	router.Delete("/v1/kv/{id}", e.serveRelease)
 	router.Get("/v1/load", e.serveLoad)
+	router.Get("/v1/cache_events", e.serveCacheEvents)
+	router.Post("/v1/orders", e.serveOrder)
 	router.Put("/control/switches", e.serveSwitches)
 	router.Get("/control/counts", e.serveCounts)
 	return router
@@ -216,6 +223,7 @@
 	counts := e.counts
 	counts.Running = len(e.running)
 	counts.Exports = len(e.exports)
+	counts.Orders = len(e.orders)
 	for _, r := range e.running {
 		counts.UsedPieces += r.pieces
 	}
--- a/standin/engine/engine_prefill.go
+++ b/standin/engine/engine_prefill.go
@@ -59,7 +59,7 @@
 	e.wakeFirst()
 	e.mu.Unlock()
 	defer e.leavePrompts(p)
-	if !e.runPrompt(r.Context(), p, request) {
+	if !e.runPrompt(r.Context(), p, r.Header.Get("X-Request-Id"), request) {
 		return
 	}
 	writeJSON(w, e.export(r, request))
@@ -89,7 +89,7 @@
 }
 
 // runPrompt waits for its turn and takes the time of the uncached tokens.
-func (e *Engine) runPrompt(ctx context.Context, p *prompt, request chatRequest) bool {
+func (e *Engine) runPrompt(ctx context.Context, p *prompt, id string, request chatRequest) bool {
 	select {
 	case <-ctx.Done():
 		return false
@@ -101,7 +101,7 @@
 		return false
 	}
 	tokens := request.promptTokens()
-	left := time.Duration(float64(e.uncached(text, tokens)) / e.config.TokensPerSecond * float64(time.Second))
+	left := time.Duration(float64(e.uncached(id, text, tokens)) / e.config.TokensPerSecond * float64(time.Second))
 	select {
 	case <-ctx.Done():
 		return false
@@ -123,7 +123,7 @@
 const prefixBytes = 1024
 
 // uncached returns the tokens to compute and remembers the prompt's beginning.
-func (e *Engine) uncached(text string, tokens int) int {
+func (e *Engine) uncached(id, text string, tokens int) int {
 	if len(text) < prefixBytes {
 		return tokens
 	}
@@ -133,6 +133,7 @@
 		return max(tokens-prefixBytes/bytesPerToken, 1)
 	}
 	e.cached[text[:prefixBytes]] = true
+	e.noteCached(id, prefixBytes/bytesPerToken)
 	return tokens
 }
 
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -82,6 +82,7 @@
 			&cli.FloatFlag{Name: "link-bytes-per-second", Value: 1e9, Usage: "rate of the transfer link"},
 			&cli.DurationFlag{Name: "kv-keep", Value: 800 * time.Millisecond, Usage: "time for which an exported cache is kept"},
 			&cli.DurationFlag{Name: "report-lag", Value: 500 * time.Millisecond, Usage: "age of load reports"},
+			&cli.StringFlag{Name: "order-token", Usage: "refuse orders without this `TOKEN`"},
 			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse orders with an old fencing number"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -89,7 +90,7 @@
 				Name: c.String("name"), Places: c.Int("places"), Pieces: c.Int("pieces"),
 				TokensPerSecond: c.Float("tokens-per-second"), TokenGap: c.Duration("token-gap"),
 				KVBytesPerToken: c.Int("kv-bytes-per-token"), LinkBytesPerSecond: c.Float("link-bytes-per-second"),
-				KVKeep: c.Duration("kv-keep"), ReportLag: c.Duration("report-lag"), ChecksFencing: c.Bool("checks-fencing"),
+				KVKeep: c.Duration("kv-keep"), ReportLag: c.Duration("report-lag"), ChecksFencing: c.Bool("checks-fencing"), OrderToken: c.String("order-token"),
 			}, func() { os.Exit(crashCode) })
 			defer e.Close()
 			return serve(ctx, c.String("listen"), e.Handler())
