Wait for requests and background work with a counter that may grow

Change: requests and background work are counted under a lock, and the shutdown waits for both. Ruled out: waiting for the requests in the HTTP server, which a second signal ends on purpose.

--- a/pkg/front/chat.go
+++ b/pkg/front/chat.go
@@ -48,6 +48,8 @@
 }
 
 func (f *Front) serveChat(w http.ResponseWriter, r *http.Request) {
+	f.work.begin()
+	defer f.work.end()
 	f.serving.Add(1)
 	defer f.serving.Add(-1)
 	ctx, span := tracer.Start(r.Context(), "front chat", trace.WithSpanKind(trace.SpanKindServer))
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -74,7 +74,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    chan struct{}
-	wait    sync.WaitGroup
+	work    work
 	ready   atomic.Bool
 	serving atomic.Int64
 
@@ -123,26 +123,18 @@
 
 // Close ends what runs in the background after a grace for it to complete.
 func (f *Front) Close(grace time.Duration) {
-	finished := make(chan struct{})
-	go func() {
-		f.wait.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-	case <-time.After(grace):
-	}
+	f.work.wait(grace)
 	f.cancel()
-	f.wait.Wait()
+	f.work.wait(grace)
 	close(f.done)
 }
 
 // background runs work that outlives its request.
-func (f *Front) background(work func(ctx context.Context)) {
-	f.wait.Add(1)
+func (f *Front) background(run func(ctx context.Context)) {
+	f.work.begin()
 	go func() {
-		defer f.wait.Done()
-		work(f.ctx)
+		defer f.work.end()
+		run(f.ctx)
 	}()
 }
 
--- a/pkg/front/plain.go
+++ b/pkg/front/plain.go
@@ -44,6 +44,8 @@
 }
 
 func (f *Front) servePlain(w http.ResponseWriter, r *http.Request) {
+	f.work.begin()
+	defer f.work.end()
 	f.serving.Add(1)
 	defer f.serving.Add(-1)
 	ctx, span := tracer.Start(r.Context(), "front plain", trace.WithSpanKind(trace.SpanKindServer))
