--- /dev/null
+++ b/pkg/balance/balance.go
@@ -0,0 +1,174 @@
+// Package balance chooses among the endpoints of a plain service.
+//
+// A Balancer is a pure decision: it knows only what this daemon has sent and
+// what became of it, so that it needs no owner, and works in a zone that is cut
+// off. Its answers to load:
+//   - bursts: the endpoint with the least share of its places taken is chosen,
+//     weighted with how long it takes, so slow endpoints get less;
+//   - endpoints that fail part of their requests while they look healthy: the
+//     measured share of failures counts as load;
+//   - endpoints that are full: a refusal closes an endpoint for a short pause;
+//   - cuts: an endpoint that cannot be reached is closed for a pause that grows,
+//     then tried with one request at a time.
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// weight is that of one new sample in the moving means; about the last ten
+	// requests count.
+	weight = 0.1
+	// failureCost is the load that an endpoint which always fails appears to
+	// have beyond its own, in places of all of its places.
+	failureCost = 4.0
+	// remoteCost is the load that an endpoint in another availability zone
+	// appears to have, since the way there costs time and traffic.
+	remoteCost = 0.25
+	// refusalPause closes an endpoint that said that it is full.
+	refusalPause = 60 * time.Millisecond
+	// firstPause closes an endpoint that could not be reached; the pause doubles
+	// with each failure in a row up to maxPause.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// failureHalfLife is the time in which a share of failures that is not
+	// confirmed halves, so that an endpoint is tried again.
+	failureHalfLife = 2 * time.Second
+	// typicalTime stands for the time of an endpoint that has answered nothing yet.
+	typicalTime = 60 * time.Millisecond
+)
+
+// Candidate is an endpoint that may be chosen.
+type Candidate struct {
+	Name   string
+	Places int
+	// Local is true for endpoints in the daemon's own availability zone.
+	Local bool
+}
+
+// Outcome is what became of a request at an endpoint.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered requests got a good answer.
+	Answered Outcome = iota
+	// Failed requests got a bad answer, or none.
+	Failed
+	// Refused requests were not run because the endpoint is full or leaving.
+	Refused
+	// Unreachable endpoints took no connection.
+	Unreachable
+	// Cancelled requests say nothing about the endpoint.
+	Cancelled
+)
+
+type record struct {
+	sent        int
+	seconds     float64
+	failures    float64
+	failureAt   time.Time
+	closedUntil time.Time
+	misses      int
+}
+
+// Balancer holds what is known of each endpoint. It is not safe for concurrent
+// use.
+type Balancer struct {
+	records map[string]*record
+}
+
+// New returns a Balancer that knows no endpoint.
+func New() *Balancer {
+	return &Balancer{records: map[string]*record{}}
+}
+
+func (b *Balancer) record(name string) *record {
+	r, ok := b.records[name]
+	if !ok {
+		r = &record{seconds: typicalTime.Seconds()}
+		b.records[name] = r
+	}
+	return r
+}
+
+// Choose returns the position of the best candidate, or -1. Those in tried are
+// passed over. Draw is a random number from 0 to 1 that settles near ties, so
+// that daemons with the same view do not all choose the same endpoint.
+func (b *Balancer) Choose(now time.Time, candidates []Candidate, tried map[string]bool, draw float64) int {
+	best, bestCost := -1, math.Inf(1)
+	for i, c := range candidates {
+		if tried[c.Name] {
+			continue
+		}
+		r := b.record(c.Name)
+		if now.Before(r.closedUntil) || (r.misses > 0 && r.sent > 0) {
+			continue
+		}
+		spread := math.Mod(draw+float64(i)*math.Phi, 1) * tieSpread
+		if cost := r.cost(now, c) + spread; cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// tieSpread is the largest difference in load that chance decides.
+const tieSpread = 0.02
+
+// cost is the load that one more request would meet.
+func (r *record) cost(now time.Time, c Candidate) float64 {
+	load := float64(r.sent+1) / float64(max(c.Places, 1)) * r.seconds / typicalTime.Seconds()
+	load += failureCost * r.failureShare(now)
+	if !c.Local {
+		load += remoteCost
+	}
+	return load
+}
+
+func (r *record) failureShare(now time.Time) float64 {
+	return r.failures * math.Exp2(-now.Sub(r.failureAt).Seconds()/failureHalfLife.Seconds())
+}
+
+// Sent notes a request to an endpoint. Ended must follow.
+func (b *Balancer) Sent(name string) {
+	b.record(name).sent++
+}
+
+// Ended notes what became of a request and how long it took.
+func (b *Balancer) Ended(now time.Time, name string, outcome Outcome, took time.Duration) {
+	r := b.record(name)
+	r.sent = max(r.sent-1, 0)
+	switch outcome {
+	case Answered:
+		r.misses = 0
+		r.seconds += weight * (took.Seconds() - r.seconds)
+		r.fail(now, 0)
+	case Failed:
+		r.fail(now, 1)
+	case Refused:
+		r.misses = 0
+		r.closedUntil = now.Add(refusalPause)
+	case Unreachable:
+		r.closedUntil = now.Add(min(firstPause<<min(r.misses, 8), maxPause))
+		r.misses++
+	case Cancelled:
+	}
+}
+
+func (r *record) fail(now time.Time, sample float64) {
+	share := r.failureShare(now)
+	r.failures = share + weight*(sample-share)
+	r.failureAt = now
+}
+
+// Keep forgets the endpoints that are not named, unless requests are under way.
+func (b *Balancer) Keep(names map[string]bool) {
+	for name, r := range b.records {
+		if !names[name] && r.sent == 0 {
+			delete(b.records, name)
+		}
+	}
+}
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/turmerictide/turmerictide/pkg/daemon"
+	"github.com/turmerictide/turmerictide/pkg/logsink"
 	"github.com/turmerictide/turmerictide/pkg/settings"
 	"github.com/turmerictide/turmerictide/pkg/trace"
 )
@@ -34,7 +35,7 @@
 			if path := c.String("check-settings"); path != "" {
 				return checkSettings(path, stdout)
 			}
-			return serveDaemon(ctx, c.String("settings"), stderr)
+			return serveDaemon(ctx, c.String("settings"), stdout)
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
@@ -50,8 +51,8 @@
 }
 
 // newLog returns a logger that writes JSON lines. V(n) is shown up to verbosity.
-func newLog(stderr io.Writer, verbosity int) logr.Logger {
-	handler := slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
+func newLog(output io.Writer, verbosity int) logr.Logger {
+	handler := slog.NewJSONHandler(output, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
 	return logr.FromSlogHandler(handler)
 }
 
@@ -62,25 +63,46 @@
 // flushTimeout bounds the export of the last spans.
 const flushTimeout = 3 * time.Second
 
-func serveDaemon(ctx context.Context, path string, stderr io.Writer) error {
+func serveDaemon(ctx context.Context, path string, stdout io.Writer) error {
 	config, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
 	debug.SetGCPercent(collectPercent)
-	log := newLog(stderr, config.Log.Verbosity).WithValues("host", config.Daemon.Host, "availability_zone", config.Daemon.AvailabilityZone)
+	sink := logsink.New(stdout, time.Now)
+	sinkContext, closeSink := context.WithCancel(context.Background())
+	go sink.Serve(sinkContext)
+	defer func() {
+		closeSink()
+		<-sink.Done()
+	}()
+	log := newLog(sink, config.Log.Verbosity).WithValues("host", config.Daemon.Host, "availability_zone", config.Daemon.AvailabilityZone)
 	flush, err := trace.Install(ctx, config.Trace, config.Daemon)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.NewDaemon(config, log, time.Now)
+	d, err := newDaemon(path, config, log)
 	if err != nil {
 		return errors.Newf("build daemon: %w", err)
 	}
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	log.Info("daemon starts", "version", Version, "protocol", config.Platform.Protocol, "settings", path)
 	result := d.Run(ctx, signals)
+	log.Info("daemon stops")
 	flushContext, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	return errors.CombineErrors(result, flush(flushContext))
 }
+
+// runner is a daemon of either protocol.
+type runner interface {
+	Run(ctx context.Context, signals <-chan os.Signal) error
+}
+
+func newDaemon(path string, config settings.Settings, log logr.Logger) (runner, error) {
+	if config.Platform.Protocol == settings.ProtocolPlatform {
+		return daemon.NewPlatformDaemon(path, config, log, time.Now)
+	}
+	return daemon.NewDaemon(config, log, time.Now)
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,10 +12,9 @@
 	"context"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill"
-	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/thejerf/suture/v4"
@@ -25,10 +24,8 @@
 	"github.com/turmerictide/turmerictide/pkg/endpoint"
 	"github.com/turmerictide/turmerictide/pkg/front"
 	"github.com/turmerictide/turmerictide/pkg/host"
-	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/member"
 	"github.com/turmerictide/turmerictide/pkg/metric"
-	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/settings"
 	"github.com/turmerictide/turmerictide/pkg/store"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
@@ -36,27 +33,17 @@
 
 // Daemon is one process with all of its roles.
 type Daemon struct {
-	settings settings.Settings
-	log      logr.Logger
-	now      func() time.Time
-	frontTag uint32
-
-	mesh       *link.Mesh
-	router     *message.Router
-	members    *member.Service
-	follower   *ticket.Follower
-	reader     *ticket.Reader
-	watcher    *host.Watcher
-	dispatcher *dispatch.Dispatcher
-	observer   *dispatch.Observer
-	client     *dispatch.Client
-	engine     *endpoint.Engine
-	canceller  *endpoint.Canceller
-	committer  *claim.Committer
-	keeper     *claim.Keeper
-	poison     *poison.Register
-	front      *front.Front
-	metrics    *metric.Set
+	*peers
+
+	follower  *ticket.Follower
+	reader    *ticket.Reader
+	watcher   *host.Watcher
+	observer  *dispatch.Observer
+	engine    *endpoint.Engine
+	canceller *endpoint.Canceller
+	committer *claim.Committer
+	keeper    *claim.Keeper
+	front     *front.Front
 
 	caller    *listener
 	operator  *listener
@@ -68,18 +55,15 @@
 
 // NewDaemon returns a Daemon that is ready to run.
 func NewDaemon(s settings.Settings, log logr.Logger, now func() time.Time) (*Daemon, error) {
-	d := &Daemon{
-		settings: s, log: log, now: now,
-		following: make(chan struct{}, 1), done: make(chan struct{}),
-	}
-	self := member.Member{
-		Host: s.Daemon.Host, AvailabilityZone: s.Daemon.AvailabilityZone,
-		Peer: s.Listen.Peer, Incarnation: member.NewIncarnation(now()),
-	}
-	d.frontTag = self.FrontTag()
-	if err := d.buildLinks(self); err != nil {
-		return nil, errors.Newf("build links: %w", err)
+	d := &Daemon{following: make(chan struct{}, 1), done: make(chan struct{})}
+	shared, err := newPeers(s, log, now, news{
+		number:      func() ticket.Number { return d.follower.Number() },
+		numberHeard: d.ticketHeard, membersChanged: d.membersChanged, cancelHold: d.cancelHold,
+	})
+	if err != nil {
+		return nil, errors.Newf("build peers: %w", err)
 	}
+	d.peers = shared
 	platform := store.NewGatewayStore(s.Platform.StoreURLs, s.Platform.RequestTimeout)
 	d.buildTickets(platform)
 	d.buildDispatch()
@@ -90,37 +74,6 @@
 	return d, nil
 }
 
-// topics lists the topics of all peer messages in the order of their codes. A
-// new topic goes to the end, so that daemons of two versions understand each
-// other.
-var topics = []string{
-	member.TopicHeartbeat, member.TopicAcknowledge, member.TopicSync, member.TopicRumour,
-	dispatch.TopicToOwner, dispatch.TopicToFront,
-	claim.TopicWrite, claim.TopicResult,
-}
-
-func (d *Daemon) buildLinks(self member.Member) error {
-	d.mesh = link.NewMesh(link.Config{
-		Host: self.Host, Keys: d.settings.Peers.Keys, Topics: topics,
-		Answered:    []string{member.TopicHeartbeat, member.TopicAcknowledge},
-		Resolve:     d.resolve,
-		Unreachable: d.unreachable,
-		Now:         d.now, Log: d.log.WithName("link"),
-	})
-	router, err := message.NewRouter(message.RouterConfig{CloseTimeout: time.Second}, watermill.NopLogger{})
-	if err != nil {
-		return errors.Newf("build router: %w", err)
-	}
-	d.router = router
-	d.members = member.NewService(member.Config{
-		Self: self, Seeds: d.settings.Peers.Seeds, Mesh: d.mesh, Now: d.now, Log: d.log.WithName("member"),
-		Ticket:      func() ticket.Number { return d.follower.Number() },
-		TicketHeard: d.ticketHeard,
-		Changed:     d.membersChanged,
-	})
-	return nil
-}
-
 func (d *Daemon) buildTickets(platform *store.Store) {
 	d.follower = ticket.NewFollower(d.stateChanged)
 	d.reader = ticket.NewReader(platform, d.follower, d.isReader, d.now, d.log.WithName("ticket"))
@@ -131,18 +84,7 @@
 func (d *Daemon) buildDispatch() {
 	d.engine = endpoint.NewEngine()
 	d.canceller = endpoint.NewCanceller(d.engine)
-	d.dispatcher = dispatch.NewDispatcher(dispatch.DispatcherConfig{
-		Host: d.settings.Daemon.Host, AvailabilityZone: d.settings.Daemon.AvailabilityZone,
-		Mesh: d.mesh, Now: d.now, Log: d.log.WithName("dispatch"),
-		Hosts: d.members.Hosts, FrontLife: d.frontLife,
-		CancelHold: d.cancelHold, SpreadPressure: d.spreadPressure,
-	})
 	d.observer = dispatch.NewObserver(d.dispatcher, d.loadReport)
-	d.client = dispatch.NewClient(dispatch.ClientConfig{
-		Host: d.settings.Daemon.Host, AvailabilityZone: d.settings.Daemon.AvailabilityZone,
-		FrontTag: d.frontTag, Mesh: d.mesh, Now: d.now, Log: d.log.WithName("dispatch"),
-		Hosts: d.members.Hosts,
-	})
 }
 
 func (d *Daemon) buildClaims(platform *store.Store) {
@@ -154,7 +96,6 @@
 }
 
 func (d *Daemon) buildFront() {
-	d.poison = poison.NewRegister()
 	d.metrics = metric.NewSet(d.gauges())
 	d.front = front.NewFront(front.Config{
 		Host: d.settings.Daemon.Host, FrontTag: d.frontTag,
@@ -167,42 +108,21 @@
 
 // route adds all handlers of peer messages.
 func (d *Daemon) route() {
-	d.members.Route(d.router)
-	d.dispatcher.Route(d.router)
-	d.client.Route(d.router)
+	d.peers.route()
 	d.keeper.Route(d.router)
-	d.members.Receive(member.RumourPressure, d.hearPressure)
-	d.members.Receive(member.RumourPoison, d.hearMark)
 	d.members.Receive(member.RumourHosts, d.hearLeaving)
 }
 
-// part adapts a function to a supervised service.
-type part func(ctx context.Context) error
-
-// Serve runs the part.
-func (p part) Serve(ctx context.Context) error { return p(ctx) }
-
 // supervise builds the tree.
 func (d *Daemon) supervise() *suture.Supervisor {
-	root := suture.New("turmerictided", suture.Spec{EventHook: d.logEvent})
-	branch := func(name string, parts ...suture.Service) {
-		b := suture.New(name, suture.Spec{EventHook: d.logEvent})
-		for _, p := range parts {
-			b.Add(p)
-		}
-		root.Add(b)
-	}
-	branch("links", part(d.router.Run))
-	branch("members", d.members)
-	branch("tickets", d.reader, d.watcher)
-	branch("dispatch", d.dispatcher, d.observer, d.client)
-	branch("claims", d.committer)
-	branch("listeners", d.caller, d.operator, d.peer)
-	return root
-}
-
-func (d *Daemon) logEvent(event suture.Event) {
-	d.log.Info("part was started again", "event", event.String())
+	return newTree(d.log, []branch{
+		{"links", []suture.Service{part(d.router.Run)}},
+		{"members", []suture.Service{d.members}},
+		{"tickets", []suture.Service{d.reader, d.watcher}},
+		{"dispatch", []suture.Service{d.dispatcher, d.observer, d.client}},
+		{"claims", []suture.Service{d.committer}},
+		{"listeners", []suture.Service{d.caller, d.operator, d.peer}},
+	})
 }
 
 // Done is closed when Run has returned.
@@ -214,7 +134,7 @@
 // signal ends the shutdown.
 func (d *Daemon) Run(ctx context.Context, signals <-chan os.Signal) error {
 	defer close(d.done)
-	if err := d.listen(); err != nil {
+	if err := openAll(d.caller, d.operator, d.peer); err != nil {
 		return errors.Newf("listen: %w", err)
 	}
 	treeContext, cancel := context.WithCancel(context.Background())
@@ -223,9 +143,13 @@
 	d.front.SetReady(true)
 	d.log.Info("daemon serves", "host", d.settings.Daemon.Host, "availability_zone", d.settings.Daemon.AvailabilityZone,
 		"caller", d.caller.address(), "operator", d.operator.address(), "peer", d.peer.address())
-	select {
-	case <-ctx.Done():
-	case <-signals:
+	for stopping := false; !stopping; {
+		select {
+		case <-ctx.Done():
+			stopping = true
+		case signal := <-signals:
+			stopping = signal != syscall.SIGHUP
+		}
 	}
 	err := d.shutDown(signals)
 	cancel()
--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -81,10 +81,10 @@
 }
 
 // authorized admits requests that a peer has signed.
-func (d *Daemon) authorized(next http.HandlerFunc) http.HandlerFunc {
-	keys := link.Keys(d.settings.Peers.Keys)
+func (p *peers) authorized(next http.HandlerFunc) http.HandlerFunc {
+	keys := link.Keys(p.settings.Peers.Keys)
 	return func(w http.ResponseWriter, r *http.Request) {
-		if _, err := keys.Verify(r, d.now()); err != nil {
+		if _, err := keys.Verify(r, p.now()); err != nil {
 			http.Error(w, "not authorized", http.StatusUnauthorized)
 			return
 		}
@@ -92,8 +92,8 @@
 	}
 }
 
-func (d *Daemon) listen() error {
-	for _, l := range []*listener{d.caller, d.operator, d.peer} {
+func openAll(listeners ...*listener) error {
+	for _, l := range listeners {
 		if err := l.open(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/pkg/daemon/platform.go
@@ -0,0 +1,299 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/turmerictide/turmerictide/pkg/connection"
+	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/member"
+	"github.com/turmerictide/turmerictide/pkg/metric"
+	"github.com/turmerictide/turmerictide/pkg/relay"
+	"github.com/turmerictide/turmerictide/pkg/settings"
+	"github.com/turmerictide/turmerictide/pkg/store"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+	"github.com/turmerictide/turmerictide/platform"
+)
+
+// PlatformDaemon is one process that serves the users' platform.
+type PlatformDaemon struct {
+	*peers
+
+	path         string
+	mirror       *store.Mirror
+	registration *member.Registration
+	directory    *directory.Directory
+	pool         *connection.Pool
+	relay        *relay.Relay
+	idle         *idleConnections
+
+	caller   *listener
+	ready    *listener
+	metric   *listener
+	peer     *listener
+	draining atomic.Bool
+	reading  chan struct{}
+	done     chan struct{}
+}
+
+// NewPlatformDaemon returns a PlatformDaemon that is ready to run. Its settings
+// were read from the file at path.
+func NewPlatformDaemon(path string, s settings.Settings, log logr.Logger, now func() time.Time) (*PlatformDaemon, error) {
+	d := &PlatformDaemon{path: path, reading: make(chan struct{}, 1), done: make(chan struct{})}
+	shared, err := newPeers(s, log, now, news{
+		number:      func() ticket.Number { return d.directory.Number() },
+		numberHeard: d.numberHeard, membersChanged: d.membersChanged, cancelHold: d.cancelHold,
+	})
+	if err != nil {
+		return nil, errors.Newf("build peers: %w", err)
+	}
+	d.peers = shared
+	address, err := storeAddress(s.Platform.StoreURLs[0])
+	if err != nil {
+		return nil, errors.Newf("read store address: %w", err)
+	}
+	metadata := platform.NewStore(address, s.Platform.RequestTimeout)
+	d.directory = directory.New(platform.Format, d.stateChanged, now, log.WithName("directory"))
+	d.registration = member.NewRegistration(metadata, d.self, log.WithName("member"))
+	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
+	d.pool = connection.NewPool(d.connectionLimit, now)
+	d.buildRelay()
+	d.buildListeners()
+	d.route()
+	return d, nil
+}
+
+func storeAddress(text string) (netip.AddrPort, error) {
+	parsed, err := url.Parse(text)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	return netip.ParseAddrPort(parsed.Host)
+}
+
+func (d *PlatformDaemon) buildRelay() {
+	d.metrics = metric.NewSet(append(d.peers.gauges(), d.gauges()...))
+	endpoints := platform.Endpoints{Pool: d.pool}
+	d.relay = relay.New(relay.Config{
+		Host: d.self.Host, AvailabilityZone: d.self.AvailabilityZone,
+		State: d.directory.Current, Client: d.client, Endpoints: endpoints.Calls(),
+		Poison: d.poison, SpreadMark: d.spreadMark,
+		Daemons: func() int { return len(d.members.Hosts("")) },
+		Budget:  relay.BudgetSettings{Share: d.settings.Budget.Share, Slack: d.settings.Budget.Slack},
+		Now:     d.now, Log: d.log.WithName("relay"), Record: d.metrics.RecordRouted,
+	})
+}
+
+func (d *PlatformDaemon) gauges() []metric.Gauge {
+	return []metric.Gauge{
+		{Name: "serving", Read: func() int64 { return int64(d.relay.Serving()) }},
+		{Name: "config_number", Read: func() int64 { return int64(d.directory.Number()) }},
+		{Name: "connections_opened", Read: func() int64 { opened, _ := d.pool.Counts(); return opened }},
+		{Name: "connections_reused", Read: func() int64 { _, reused := d.pool.Counts(); return reused }},
+	}
+}
+
+func (d *PlatformDaemon) buildListeners() {
+	limits := d.settings.Limits
+	callers := &platform.Callers{
+		Serve: d.relay.Serve, State: d.directory.Current, IsDraining: d.draining.Load,
+		Now: d.now, Log: d.log.WithName("caller"),
+	}
+	server := newServer(callers, limits.HeaderBytes)
+	d.idle = &idleConnections{since: map[net.Conn]time.Time{}, now: d.now}
+	server.ConnState = d.idle.note
+	d.caller = newListener("caller", d.settings.Listen.Caller, limits.Connections, server)
+	d.ready = newListener("ready", d.settings.Listen.Ready, peerConnections, newServer(http.HandlerFunc(d.serveReady), limits.HeaderBytes))
+	d.metric = newListener("metrics", d.settings.Listen.Metrics, peerConnections, newServer(d.metrics, limits.HeaderBytes))
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, d.mesh)
+	mux.HandleFunc(store.PeerPath, d.authorized(func(w http.ResponseWriter, _ *http.Request) {
+		d.mirror.ServePeer(w, []string{platform.Format.ConfigKey, platform.Format.EndpointPrefix, member.RegistrationPrefix})
+	}))
+	d.peer = newListener("peer", d.settings.Listen.Peer, peerConnections, newServer(mux, limits.HeaderBytes))
+}
+
+func (d *PlatformDaemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.draining.Load() || d.directory.Current() == nil {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// connectionLimit returns the connections that this daemon may have open to an
+// endpoint.
+func (d *PlatformDaemon) connectionLimit(address netip.AddrPort) int {
+	return platform.ConnectionLimit(d.directory.Current(), address, len(d.members.Hosts("")))
+}
+
+// storeChanged passes what the store holds on to the parts that read it.
+func (d *PlatformDaemon) storeChanged(content store.Content) {
+	d.members.AddSeeds(d.registration.Update(content))
+	d.directory.Update(content)
+}
+
+// stateChanged puts a new state in force in all roles.
+func (d *PlatformDaemon) stateChanged(state *directory.State) {
+	tickets := directory.Tickets(state)
+	d.client.Refresh(tickets)
+	d.dispatcher.Refresh(tickets)
+	d.relay.Refresh(state)
+}
+
+// membersChanged finds new owners after a change of the list of daemons.
+func (d *PlatformDaemon) membersChanged() {
+	if state := d.directory.Current(); state != nil {
+		d.dispatcher.Refresh(directory.Tickets(state))
+	}
+}
+
+// cancelHold ends a request of a front that is gone. Its connections have gone
+// with it, and endpoints drop a request with its connection.
+func (d *PlatformDaemon) cancelHold(_ dispatch.Hold, _ dispatch.FencingNumber, confirmed func()) {
+	go confirmed()
+}
+
+// numberHeard reads the entries of a peer that has a newer configuration. One
+// peer is read at a time; heartbeats repeat what is missed meanwhile.
+func (d *PlatformDaemon) numberHeard(host string, _ ticket.Number) {
+	select {
+	case d.reading <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-d.reading }()
+		d.readPeer(host)
+	}()
+}
+
+func (d *PlatformDaemon) readPeer(host string) {
+	address, ok := d.members.Resolve(host)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerReadTimeout)
+	defer cancel()
+	entries, err := store.ReadPeer(ctx, http.DefaultClient, address, func(r *http.Request) {
+		link.Keys(d.settings.Peers.Keys).Sign(r, d.self.Host, d.now())
+	})
+	if err != nil {
+		d.log.Info("entries were not read from peer", "peer", host, "error", err.Error())
+		return
+	}
+	d.log.Info("entries were read from peer", "peer", host, "entries", len(entries))
+	d.mirror.Adopt(entries)
+}
+
+const (
+	// peerReadTimeout bounds the reading of a peer's entries.
+	peerReadTimeout = 2 * time.Second
+	// housekeepingPeriod spaces the looks at idle connections and missing endpoints.
+	housekeepingPeriod = 250 * time.Millisecond
+)
+
+// housekeep closes idle connections, drops endpoints that stay missing and
+// notices changed settings.
+func (d *PlatformDaemon) housekeep(ctx context.Context) error {
+	ticker := time.NewTicker(housekeepingPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := d.now()
+		d.pool.Sweep(now)
+		d.directory.Tick(now)
+		if state := d.directory.Current(); state != nil && state.Config.Limits.IdleTimeout > 0 {
+			d.idle.sweep(now, state.Config.Limits.IdleTimeout)
+		}
+	}
+}
+
+func (d *PlatformDaemon) supervise() *suture.Supervisor {
+	return newTree(d.log, []branch{
+		{"links", []suture.Service{part(d.router.Run)}},
+		{"members", []suture.Service{d.members, d.registration}},
+		{"state", []suture.Service{d.mirror, part(d.housekeep)}},
+		{"dispatch", []suture.Service{d.dispatcher, d.client}},
+		{"listeners", []suture.Service{d.caller, d.ready, d.metric, d.peer}},
+	})
+}
+
+// Done is closed when Run has returned.
+func (d *PlatformDaemon) Done() <-chan struct{} {
+	return d.done
+}
+
+// Run serves until a signal to stop arrives, and then shuts down gracefully. A
+// second one ends the shutdown; SIGHUP makes the settings be read again.
+func (d *PlatformDaemon) Run(ctx context.Context, signals <-chan os.Signal) error {
+	defer close(d.done)
+	if err := openAll(d.caller, d.ready, d.metric, d.peer); err != nil {
+		return errors.Newf("listen: %w", err)
+	}
+	treeContext, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopped := d.supervise().ServeBackground(treeContext)
+	d.log.Info("daemon serves", "caller", d.caller.address(), "ready", d.ready.address(), "peer", d.peer.address(),
+		"store", d.settings.Platform.StoreURLs[0])
+	for stopping := false; !stopping; {
+		select {
+		case <-ctx.Done():
+			stopping = true
+		case signal := <-signals:
+			stopping = signal != syscall.SIGHUP
+		}
+	}
+	err := d.shutDown(signals)
+	cancel()
+	<-stopped
+	return err
+}
+
+// idleConnections knows since when the connections of callers are idle, because
+// the operators may change how long they may be.
+type idleConnections struct {
+	now func() time.Time
+
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func (i *idleConnections) note(conn net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if state == http.StateIdle {
+		i.since[conn] = i.now()
+		return
+	}
+	delete(i.since, conn)
+}
+
+func (i *idleConnections) sweep(now time.Time, limit time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for conn, since := range i.since {
+		if now.Sub(since) > limit {
+			_ = conn.Close()
+			delete(i.since, conn)
+		}
+	}
+}
--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -53,3 +53,43 @@
 	d.log.Info("daemon has drained")
 	return nil
 }
+
+const (
+	// balancerNotice is the time in which the platform's balancer stops sending new
+	// connections: two looks a second apart, and one on its way.
+	balancerNotice = 3200 * time.Millisecond
+	// lastWords is the part of the shutdown time that is left for the end of the
+	// process.
+	lastWords = 500 * time.Millisecond
+)
+
+// shutDown drains the daemon. It goes on taking requests until the balancer has
+// noticed that it is not ready, then serves what is in flight to the end, as far
+// as the shutdown time allows.
+func (d *PlatformDaemon) shutDown(signals <-chan os.Signal) error {
+	d.draining.Store(true)
+	d.members.Leave()
+	d.log.Info("daemon drains", "serving", d.relay.Serving())
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.ShutdownTimeout-lastWords)
+	defer cancel()
+	select {
+	case <-signals:
+		cancel()
+	case <-time.After(balancerNotice):
+	}
+	err := d.caller.server.Shutdown(ctx)
+	cut := d.relay.Serving()
+	_ = d.caller.server.Close()
+	d.pool.Close()
+	_ = d.router.Close()
+	_ = d.mesh.Close()
+	for _, l := range []*listener{d.ready, d.metric, d.peer} {
+		_ = l.server.Close()
+	}
+	if err != nil {
+		d.log.Error(ErrCut, "shutdown was ended early", "cut", cut)
+		return errors.Newf("%d: %w", cut, ErrCut)
+	}
+	d.log.Info("daemon has drained")
+	return nil
+}
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -42,27 +42,33 @@
 
 // gauges lists the values that are read when the metrics are.
 func (d *Daemon) gauges() []metric.Gauge {
-	return []metric.Gauge{
+	return append(d.peers.gauges(), []metric.Gauge{
 		{Name: "serving", Read: func() int64 { return int64(d.front.Serving()) }},
 		{Name: "ticket_number", Read: func() int64 { return int64(d.follower.Number()) }},
 		{Name: "ticket_age_seconds", Read: func() int64 { return int64(d.now().Sub(d.since.get()).Seconds()) }},
-		{Name: "members", Read: func() int64 { return int64(len(d.members.Hosts(""))) }},
-		{Name: "link_sent_bytes", Read: func() int64 { return int64(d.mesh.Traffic().SentBytes) }},
-		{Name: "link_received_bytes", Read: func() int64 { return int64(d.mesh.Traffic().ReceivedBytes) }},
-		{Name: "link_dropped_frames", Read: func() int64 { return int64(d.mesh.Traffic().DroppedFrames) }},
-		{Name: "shards_owned", Read: func() int64 { return int64(len(d.dispatcher.Summaries())) }},
-		{Name: "queued", Read: d.queued},
-		{Name: "grants", Read: func() int64 { return d.dispatcher.Counts().Grants }},
-		{Name: "refusals", Read: func() int64 { return d.dispatcher.Counts().Refusals }},
 		{Name: "claims_waiting", Read: func() int64 { return int64(d.committer.Waiting()) }},
 		{Name: "retries_denied", Read: func() int64 { _, denied := d.front.RetryCounts(); return denied }},
+	}...)
+}
+
+// gauges lists the values of the parts that all daemons have.
+func (p *peers) gauges() []metric.Gauge {
+	return []metric.Gauge{
+		{Name: "members", Read: func() int64 { return int64(len(p.members.Hosts(""))) }},
+		{Name: "link_sent_bytes", Read: func() int64 { return int64(p.mesh.Traffic().SentBytes) }},
+		{Name: "link_received_bytes", Read: func() int64 { return int64(p.mesh.Traffic().ReceivedBytes) }},
+		{Name: "link_dropped_frames", Read: func() int64 { return int64(p.mesh.Traffic().DroppedFrames) }},
+		{Name: "shards_owned", Read: func() int64 { return int64(len(p.dispatcher.Summaries())) }},
+		{Name: "queued", Read: p.queued},
+		{Name: "grants", Read: func() int64 { return p.dispatcher.Counts().Grants }},
+		{Name: "refusals", Read: func() int64 { return p.dispatcher.Counts().Refusals }},
 		{Name: "processor_milliseconds", Read: processorMilliseconds},
 	}
 }
 
-func (d *Daemon) queued() int64 {
+func (p *peers) queued() int64 {
 	total := int64(0)
-	for _, s := range d.dispatcher.Summaries() {
+	for _, s := range p.dispatcher.Summaries() {
 		total += int64(s.Load.Queued)
 	}
 	return total
--- a/pkg/daemon/wiring.go
+++ b/pkg/daemon/wiring.go
@@ -12,7 +12,6 @@
 	"github.com/turmerictide/turmerictide/pkg/endpoint"
 	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/member"
-	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/shard"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
@@ -35,15 +34,6 @@
 	return s.at
 }
 
-func (d *Daemon) resolve(host string) (netip.AddrPort, bool) {
-	return d.members.Resolve(host)
-}
-
-// unreachable is called when a new connection to a host could not be opened.
-func (d *Daemon) unreachable(host string) {
-	d.client.Avoid(host)
-}
-
 // stateChanged puts a new ticket in force in all roles.
 func (d *Daemon) stateChanged(state *ticket.State, at time.Time) {
 	d.since.set(at)
@@ -112,40 +102,6 @@
 	}
 }
 
-// frontLife tells whether the life of a front goes on, for a dispatcher that
-// first heard of it at a time. A host whose present life was heard of later than
-// that has ended the earlier one. Without a host, all daemons are searched.
-func (d *Daemon) frontLife(tag uint32, host string, heard time.Time) dispatch.Life {
-	if host == "" {
-		return d.lifeOfTag(tag)
-	}
-	known, ok := d.members.Member(host)
-	switch {
-	case ok && known.FrontTag() == tag:
-		return lifeOf(known)
-	case ok && d.members.LifeSince(host).After(heard):
-		return dispatch.LifeEnded
-	default:
-		return dispatch.LifeUnknown
-	}
-}
-
-func (d *Daemon) lifeOfTag(tag uint32) dispatch.Life {
-	for _, known := range d.members.Members() {
-		if known.FrontTag() == tag {
-			return lifeOf(known)
-		}
-	}
-	return dispatch.LifeUnknown
-}
-
-func lifeOf(known member.Member) dispatch.Life {
-	if known.State == member.StateDead {
-		return dispatch.LifeEnded
-	}
-	return dispatch.LifeAlive
-}
-
 // isLive tells whether the life of a front that made a claim goes on.
 func (d *Daemon) isLive(host string, tag uint32) bool {
 	known, ok := d.members.Member(host)
@@ -190,56 +146,11 @@
 	return result, nil
 }
 
-type wirePressure struct {
-	_        struct{} `cbor:",toarray"`
-	Shard    dispatch.ShardID
-	Pressure dispatch.Pressure
-}
-
-type wireMark struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint poison.Fingerprint
-	Verdict     poison.Verdict
-	Endpoint    string
-}
-
 type wireLeaving struct {
 	_     struct{} `cbor:",toarray"`
 	Hosts []string
 }
 
-func (d *Daemon) spread(kind member.RumourKind, body any) {
-	payload, err := link.Encode(body)
-	if err != nil {
-		d.log.Error(err, "rumour was not encoded")
-		return
-	}
-	d.members.Spread(kind, payload)
-}
-
-func (d *Daemon) spreadPressure(id dispatch.ShardID, pressure dispatch.Pressure) {
-	d.client.SetPressure(id, pressure)
-	d.spread(member.RumourPressure, wirePressure{Shard: id, Pressure: pressure})
-}
-
-func (d *Daemon) hearPressure(_ string, payload []byte) {
-	var wire wirePressure
-	if link.Decode(payload, &wire) == nil {
-		d.client.SetPressure(wire.Shard, wire.Pressure)
-	}
-}
-
-func (d *Daemon) spreadMark(mark poison.Mark) {
-	d.spread(member.RumourPoison, wireMark{Fingerprint: mark.Fingerprint, Verdict: mark.Verdict, Endpoint: mark.Endpoint})
-}
-
-func (d *Daemon) hearMark(_ string, payload []byte) {
-	var wire wireMark
-	if link.Decode(payload, &wire) == nil {
-		d.poison.Apply(d.now(), poison.Mark{Fingerprint: wire.Fingerprint, Verdict: wire.Verdict, Endpoint: wire.Endpoint})
-	}
-}
-
 func (d *Daemon) spreadLeaving(hosts []string) {
 	d.dispatcher.SetListedLeaving(hosts)
 	d.spread(member.RumourHosts, wireLeaving{Hosts: hosts})
--- /dev/null
+++ b/pkg/directory/directory.go
@@ -0,0 +1,100 @@
+// Package directory holds what a daemon knows of the operators' configuration
+// and of the endpoints: which routes and services there are, and which endpoints
+// serve them.
+//
+// The flow is: a Mirror of the platform's store, or a peer, passes raw entries
+// to Directory.Update; the platform's adapter decodes each entry once; the
+// Directory builds an immutable State and hands it to the daemon. A configuration
+// never goes back to a lower number within a process. Entries that cannot be read
+// are left out with a log line and hold up nothing else.
+package directory
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/route"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Places is the number of requests that an engine runs at once.
+	Places int
+	// MemoryTokens is the KV memory of an engine in tokens.
+	MemoryTokens int
+	// BytesPerToken sizes the transfer of a KV cache.
+	BytesPerToken int
+	// LinkBytesPerSecond is the rate of an engine's transfer link.
+	LinkBytesPerSecond float64
+	// HandleTime is the time for which an exported KV cache is kept.
+	HandleTime time.Duration
+}
+
+// Service is one service as the operators configured it.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is the number of connections that an endpoint accepts from
+	// all daemons together.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bounds what callers may send, and how long they may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is the operators' configuration.
+type Config struct {
+	Number   ticket.Number
+	Routes   *route.Table
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Endpoint is one server as it registered itself.
+type Endpoint struct {
+	// Name identifies one life of the server, or several under one name.
+	Name             string
+	Service          string
+	Address          netip.AddrPort
+	AvailabilityZone string
+	Role             ticket.Role
+	// Places is the number of requests that it runs at once.
+	Places  int
+	Leaving bool
+	// Born is the start of this life, zero when it was not told.
+	Born time.Time
+}
+
+// State is the configuration and the endpoints in force. It is immutable.
+type State struct {
+	Config Config
+	// Endpoints are those that may be used or are leaving, by name.
+	Endpoints map[string]Endpoint
+	// Since is the time at which the configuration came into force here.
+	Since time.Time
+}
+
+// Serving returns the endpoints of a service that take new work.
+func (s *State) Serving(service string) []Endpoint {
+	var result []Endpoint
+	for _, e := range s.Endpoints {
+		if e.Service == service && !e.Leaving {
+			result = append(result, e)
+		}
+	}
+	return result
+}
+
+// IsServing reports whether an endpoint still takes new work.
+func (s *State) IsServing(endpoint Endpoint) bool {
+	e, ok := s.Endpoints[endpoint.Name]
+	return ok && !e.Leaving && e.Address == endpoint.Address && e.Born.Equal(endpoint.Born)
+}
--- /dev/null
+++ b/pkg/directory/pools.go
@@ -0,0 +1,115 @@
+package directory
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/route"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+const (
+	// pieceTokens is the size in which the memory of engines is accounted for.
+	pieceTokens = 64
+	// prefillTokensPerSecond is the prefill rate of an engine of which none was
+	// measured yet.
+	prefillTokensPerSecond = 50000
+	// firstStep is the time that a transfer and the first decode step take at a
+	// usual batch.
+	firstStep = 90 * time.Millisecond
+	// floorShare is the part of granted work that each less urgent rank keeps.
+	floorShare = 0.05
+)
+
+// Priorities returns the priorities of the routes to a service, the most urgent
+// first. Their positions are the service's ranks.
+func Priorities(state *State, service string) []int {
+	var result []int
+	for _, r := range state.Config.Routes.All() {
+		for _, share := range r.Shares {
+			if share.Service == service && r.Kind == route.KindStream && !slices.Contains(result, r.Priority) {
+				result = append(result, r.Priority)
+			}
+		}
+	}
+	sort.Ints(result)
+	return result
+}
+
+// Tickets returns the services with model engines, and their endpoints, in the
+// form in which dispatchers take them.
+func Tickets(state *State) *ticket.State {
+	result := &ticket.State{
+		Head:     ticket.Head{Number: state.Config.Number},
+		Services: map[string]ticket.Service{}, Pools: map[string]ticket.Pool{},
+	}
+	for name, service := range state.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		result.Services[name] = ticketService(state, service)
+	}
+	for _, e := range state.Endpoints {
+		service, ok := result.Services[e.Service]
+		if !ok || (e.Role != ticket.RolePrefill && e.Role != ticket.RoleDecode) {
+			continue
+		}
+		key := e.Service + "/" + e.AvailabilityZone + "/" + string(e.Role)
+		pool := result.Pools[key]
+		pool.Service, pool.AvailabilityZone, pool.Role = e.Service, e.AvailabilityZone, e.Role
+		pool.Endpoints = append(pool.Endpoints, ticketEndpoint(e, *state.Config.Services[e.Service].Engine, service))
+		result.Pools[key] = pool
+	}
+	return result
+}
+
+func ticketService(state *State, service Service) ticket.Service {
+	result := ticket.Service{
+		Name: service.Name, Kind: ticket.KindModel,
+		KVBytesPerToken: service.Engine.BytesPerToken, PieceTokens: pieceTokens,
+		AllZones: true, DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep),
+	}
+	for i, priority := range Priorities(state, service.Name) {
+		target, gap := targetsOf(state, service.Name, priority)
+		rank := ticket.Rank{FirstTokenTarget: ticket.Duration(target), TokenGapTarget: ticket.Duration(gap)}
+		if i > 0 {
+			rank.FloorShare = floorShare
+		}
+		result.Ranks = append(result.Ranks, rank)
+	}
+	if len(result.Ranks) == 0 {
+		// A service without routes still has endpoints to be known.
+		result.Ranks = []ticket.Rank{{FirstTokenTarget: ticket.Duration(time.Second)}}
+	}
+	return result
+}
+
+// targetsOf returns the tightest targets of the routes of one priority.
+func targetsOf(state *State, service string, priority int) (target, gap time.Duration) {
+	for _, r := range state.Config.Routes.All() {
+		serves := slices.ContainsFunc(r.Shares, func(s route.Share) bool { return s.Service == service })
+		if r.Kind != route.KindStream || r.Priority != priority || !serves {
+			continue
+		}
+		if target == 0 || r.Target < target {
+			target = r.Target
+		}
+		if gap == 0 || r.GapTarget < gap {
+			gap = r.GapTarget
+		}
+	}
+	return target, gap
+}
+
+func ticketEndpoint(e Endpoint, engine Engine, service ticket.Service) ticket.Endpoint {
+	places := e.Places
+	if places <= 0 {
+		places = engine.Places
+	}
+	return ticket.Endpoint{
+		Name: e.Name, Address: e.Address, AvailabilityZone: e.AvailabilityZone, Places: places,
+		Pieces: engine.MemoryTokens / service.PieceTokens, TokensPerSecond: prefillTokensPerSecond,
+		Link: e.Name, LinkBytesPerSecond: engine.LinkBytesPerSecond, Leaving: e.Leaving,
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/alone.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"github.com/turmerictide/turmerictide/pkg/shard"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// acquireAlone decides without an owner, which is cut off, stopped or gone: a
+// Planner of this front grants from the front's share of the places, in its own
+// availability zone as far as that can serve. It grants at once or refuses at
+// once, since nobody tells it when others give places back.
+func (c *Client) acquireAlone(s routedShard, request Request) (*Reservation, error) {
+	now := c.config.Now()
+	request.ID = c.NewRequestID()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	planner, ok := c.alone[s.id]
+	if !ok {
+		planner = NewPlanner(s.shard.Service, FencingNumber(now.UnixMilli())<<fencingShift)
+		c.alone[s.id] = planner
+	}
+	planner.SetEndpoints(shareOf(s.shard, c.config.AvailabilityZone, len(c.config.Hosts(c.config.AvailabilityZone)), len(c.config.Hosts(""))))
+	for _, decision := range planner.Offer(now, request, nil) {
+		if !decision.IsGrant() {
+			return nil, &RefusedError{Refusal: decision.Refusal}
+		}
+		return c.holdAlone(planner, s, request, decision.Grant), nil
+	}
+	planner.Withdraw(request.ID)
+	return nil, &RefusedError{Refusal: planner.refuse(now, request, CauseTooLate).Refusal}
+}
+
+// holdAlone books a grant of this front's own Planner. The caller holds the lock.
+func (c *Client) holdAlone(planner *Planner, s routedShard, request Request, grant Grant) *Reservation {
+	r := &Reservation{
+		Grant: grant, Shard: s.key, GrantedAt: c.config.Now(),
+		Prefill: s.endpoints[hashEndpoint(grant.Prefill)], Decode: s.endpoints[hashEndpoint(grant.Decode)],
+		client: c, request: request, shard: s, alone: planner,
+	}
+	if grant.Prefill == "" {
+		r.Prefill = ticket.Endpoint{}
+		r.stage = StageDecode
+	}
+	c.live[request.ID] = r
+	return r
+}
+
+// advanceAlone tells the front's own Planner of a stage. The caller holds the lock.
+func (r *Reservation) advanceAlone(stage Stage) {
+	now := r.client.config.Now()
+	if stage == StageDecode {
+		r.alone.Started(now, r.Grant.ID, nil)
+		return
+	}
+	r.alone.Prefilled(now, r.Grant.ID, nil)
+}
+
+// shareOf returns a shard with the places that one front may use alone: those of
+// its own zone divided among the zone's fronts, or all divided among all fronts
+// when the zone has no decode endpoint of its own.
+func shareOf(s shard.Shard, zone string, zoneFronts, fronts int) shard.Shard {
+	result := shard.Shard{Key: s.Key, Service: s.Service}
+	result.Decode = divide(s.Decode, zone, zoneFronts)
+	if len(result.Decode) == 0 {
+		result.Decode = divide(s.Decode, "", fronts)
+	}
+	result.Prefill = divide(s.Prefill, zone, zoneFronts)
+	if len(result.Prefill) == 0 {
+		result.Prefill = divide(s.Prefill, "", fronts)
+	}
+	return result
+}
+
+// divide returns the endpoints of a zone, or all for "", with one of so many
+// shares of their places and memory.
+func divide(endpoints []ticket.Endpoint, zone string, shares int) []ticket.Endpoint {
+	var result []ticket.Endpoint
+	for _, e := range endpoints {
+		if e.Leaving || (zone != "" && e.AvailabilityZone != "" && e.AvailabilityZone != zone) {
+			continue
+		}
+		e.Places = max(e.Places/max(shares, 1), 1)
+		if e.Pieces > 0 {
+			e.Pieces = max(e.Pieces/max(shares, 1), 1)
+		}
+		result = append(result, e)
+	}
+	return result
+}
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -21,6 +21,12 @@
 	// offerRepeat spaces repeated offers, which replace lost messages and find a
 	// new owner.
 	offerRepeat = 500 * time.Millisecond
+	// answerPatience is the time in which an owner answers an offer or says that
+	// it waits. It is above the pause of a host that has used up its share of a
+	// processor for a tenth of a second.
+	answerPatience = 110 * time.Millisecond
+	// silentTime is the time for which an owner that did not is passed over.
+	silentTime = time.Second
 	// avoidTime is the time for which a host that could not be reached is passed
 	// over when an owner is looked up.
 	avoidTime = 3 * time.Second
@@ -64,12 +70,15 @@
 	avoided  map[string]time.Time
 	pressure map[ShardID]Pressure
 	pause    pauseDetector
-	done     chan struct{}
+	// alone holds the Planners for shards whose owners cannot be reached.
+	alone map[ShardID]*Planner
+	done  chan struct{}
 }
 
 type routedShard struct {
 	id        ShardID
 	key       shard.Key
+	shard     shard.Shard
 	endpoints map[endpointHash]ticket.Endpoint
 }
 
@@ -86,6 +95,11 @@
 	request  Request
 	shard    routedShard
 	decision chan arrival
+	// owner is the host that was asked last.
+	owner string
+	// queued tells that the owner has the offer, lost that it cannot be reached.
+	queued chan struct{}
+	lost   chan struct{}
 }
 
 // arrival is a decision with the time at which its message came.
@@ -109,6 +123,8 @@
 	request Request
 	shard   routedShard
 	stage   Stage
+	// alone is the Planner that granted it when no owner did.
+	alone *Planner
 }
 
 // NewClient returns a Client without shards.
@@ -117,7 +133,7 @@
 		config: config, shards: map[string][]routedShard{},
 		pending: map[RequestID]*offer{}, live: map[RequestID]*Reservation{},
 		avoided: map[string]time.Time{}, pressure: map[ShardID]Pressure{},
-		done: make(chan struct{}),
+		alone: map[ShardID]*Planner{}, done: make(chan struct{}),
 	}
 }
 
@@ -158,7 +174,7 @@
 	}
 	shards := map[string][]routedShard{}
 	for _, s := range shard.Divide(state) {
-		routed := routedShard{id: NewShardID(s.Key), key: s.Key, endpoints: map[endpointHash]ticket.Endpoint{}}
+		routed := routedShard{id: NewShardID(s.Key), key: s.Key, shard: s, endpoints: map[endpointHash]ticket.Endpoint{}}
 		for _, endpoint := range s.Prefill {
 			routed.add(endpoint)
 		}
@@ -176,7 +192,21 @@
 func (c *Client) Avoid(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoided[host] = c.config.Now().Add(avoidTime)
+	c.avoid(host, avoidTime)
+}
+
+// avoid passes over a host and makes the offers to it go to the next owner. The
+// caller holds the lock.
+func (c *Client) avoid(host string, length time.Duration) {
+	until := c.config.Now().Add(length)
+	if until.After(c.avoided[host]) {
+		c.avoided[host] = until
+	}
+	for _, o := range c.pending {
+		if o.owner == host {
+			notify(o.lost)
+		}
+	}
 }
 
 // SetPressure notes what was heard of a shard.
@@ -206,7 +236,7 @@
 	defer c.mu.Unlock()
 	var local []routedShard
 	for _, s := range c.shards[service] {
-		if s.key.AvailabilityZone == zone {
+		if s.key.AvailabilityZone == zone || s.key.AvailabilityZone == shard.AllZones {
 			local = append(local, s)
 		}
 	}
@@ -229,7 +259,7 @@
 	var best routedShard
 	found := false
 	for _, s := range c.shards[service] {
-		if s.key.AvailabilityZone == c.config.AvailabilityZone || c.pressure[s.id] >= otherZonePressure {
+		if s.key.AvailabilityZone == c.config.AvailabilityZone || s.key.AvailabilityZone == shard.AllZones || c.pressure[s.id] >= otherZonePressure {
 			continue
 		}
 		if !found || c.pressure[s.id] < c.pressure[best.id] {
@@ -269,26 +299,70 @@
 }
 
 func (c *Client) acquire(ctx context.Context, s routedShard, request Request) (*Reservation, error) {
-	o := &offer{request: request, shard: s, decision: make(chan arrival, 1)}
+	o := &offer{
+		request: request, shard: s, decision: make(chan arrival, 1),
+		queued: make(chan struct{}, 1), lost: make(chan struct{}, 1),
+	}
 	c.mu.Lock()
 	c.pending[request.ID] = o
 	c.mu.Unlock()
-	ticker := time.NewTicker(offerRepeat)
-	defer ticker.Stop()
 	for {
 		owner := c.owner(s)
 		if owner == "" {
 			c.withdraw(o)
-			return nil, errors.Newf("shard %s: %w", s.key, ErrNoShard)
+			return c.acquireAlone(s, request)
 		}
+		c.mu.Lock()
+		o.owner = owner
+		c.mu.Unlock()
 		c.publish(ctx, owner, kindOffer, s.id, encodeRequest(request, c.config.Now()))
+		next, err := c.await(ctx, o)
+		switch {
+		case err != nil:
+			c.withdraw(o)
+			return nil, err
+		case next.isDecided:
+			return c.accept(o, next.decision)
+		case next.isSilent:
+			c.withdraw(o)
+			c.mu.Lock()
+			c.avoid(owner, silentTime)
+			c.mu.Unlock()
+			c.config.Log.Info("owner does not answer", "owner", owner, "shard", s.key.String(), "request", request.ID.String())
+			return c.acquireAlone(s, request)
+		}
+	}
+}
+
+// awaited is what came of waiting for an owner. If neither is set, the offer is
+// to be made again.
+type awaited struct {
+	decision  arrival
+	isDecided bool
+	isSilent  bool
+}
+
+// await waits until an offer is decided, its owner is lost or silent, or the
+// offer is to be repeated.
+func (c *Client) await(ctx context.Context, o *offer) (awaited, error) {
+	patience := time.NewTimer(answerPatience)
+	defer patience.Stop()
+	repeat := time.NewTimer(offerRepeat)
+	defer repeat.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			c.withdraw(o)
-			return nil, context.Cause(ctx)
+			return awaited{}, context.Cause(ctx)
 		case arrived := <-o.decision:
-			return c.accept(o, arrived)
-		case <-ticker.C:
+			return awaited{decision: arrived, isDecided: true}, nil
+		case <-o.queued:
+			patience.Stop()
+		case <-patience.C:
+			return awaited{isSilent: true}, nil
+		case <-o.lost:
+			return awaited{}, nil
+		case <-repeat.C:
+			return awaited{}, nil
 		}
 	}
 }
@@ -364,6 +438,9 @@
 func (r *Reservation) advance(stage Stage, kind wireKind) {
 	r.client.mu.Lock()
 	r.stage = stage
+	if r.alone != nil {
+		r.advanceAlone(stage)
+	}
 	r.client.mu.Unlock()
 	if owner := r.client.owner(r.shard); owner != "" {
 		r.client.publish(context.Background(), owner, kind, noShard, r.Grant.ID)
@@ -375,6 +452,9 @@
 	r.client.mu.Lock()
 	_, ok := r.client.live[r.Grant.ID]
 	delete(r.client.live, r.Grant.ID)
+	if ok && r.alone != nil {
+		r.alone.Done(r.client.config.Now(), r.Grant.ID, outcome, nil)
+	}
 	r.client.mu.Unlock()
 	if ok {
 		r.client.tellDone(r.shard, r.Grant.ID, outcome)
--- a/pkg/dispatch/client_messages.go
+++ b/pkg/dispatch/client_messages.go
@@ -19,6 +19,8 @@
 		c.handleGrant(link.Host(m), envelope)
 	case kindRefusal:
 		c.handleRefusal(envelope.Body)
+	case kindQueued:
+		c.handleQueued(envelope.Body)
 	case kindReport:
 		c.handleReport(link.Host(m), envelope.Shard)
 	case kindAudit:
@@ -68,6 +70,27 @@
 	}})
 }
 
+// handleQueued notes that an owner has an offer and has not decided yet.
+func (c *Client) handleQueued(body []byte) {
+	var id RequestID
+	if err := link.Decode(body, &id); err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o, ok := c.pending[id]; ok {
+		notify(o.queued)
+	}
+}
+
+// notify wakes whoever waits on a channel of one place.
+func notify(channel chan<- struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 // decide passes a decision to the offer that waits for it, if one does.
 func (c *Client) decide(id RequestID, decision arrival) bool {
 	c.mu.Lock()
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -50,6 +50,11 @@
 	// Suspect marks a request whose like has crashed an endpoint. An endpoint
 	// runs at most one of them, so that the next crash tells which it was.
 	Suspect bool
+	// DecodeOnly asks for a decode place alone: the KV cache is there already, or
+	// the decode endpoint computes it.
+	DecodeOnly bool
+	// Zone is the availability zone of the front, whose endpoints are preferred.
+	Zone string
 }
 
 // FencingNumber orders the grants of one shard across its owners.
@@ -127,12 +132,26 @@
 	Decode  string
 }
 
-// PieceTokens is the number of tokens in one piece of decode memory.
+// PieceTokens is the number of tokens in one piece of decode memory, for
+// services that set none.
 const PieceTokens = 4096
 
 // Pieces returns the memory pieces for a prompt and its output.
 func Pieces(promptTokens, outputTokens int) int {
-	return (promptTokens + outputTokens + PieceTokens - 1) / PieceTokens
+	return divideUp(promptTokens+outputTokens, PieceTokens)
+}
+
+// memoryPieces returns the memory pieces that a request needs at an endpoint of
+// a service.
+func memoryPieces(service ticket.Service, request Request) int {
+	if service.PieceTokens <= 0 {
+		return Pieces(request.PromptTokens, request.OutputTokens)
+	}
+	return divideUp(request.PromptTokens+request.OutputTokens, service.PieceTokens)
+}
+
+func divideUp(total, size int) int {
+	return (total + size - 1) / size
 }
 
 const (
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -21,7 +21,7 @@
 	idlePeriod = beatPeriod
 	// rebuildTimeout bounds the wait for the reports of fronts after a change
 	// of owner. Fronts that answer later are adopted then.
-	rebuildTimeout = 400 * time.Millisecond
+	rebuildTimeout = 200 * time.Millisecond
 	// standInTime is the time for which a shard is kept that another daemon owns.
 	standInTime = 10 * time.Second
 	// auditPeriod spaces the questions to fronts about their older holds.
@@ -53,6 +53,8 @@
 	// identifier goes on. The host is "" when only the identifier is known;
 	// heard is the time at which this daemon first heard of the life.
 	FrontLife func(tag uint32, host string, heard time.Time) Life
+	// ZoneOf returns the availability zone of a daemon.
+	ZoneOf func(host string) string
 	// CancelHold ends a hold at its endpoints and calls confirmed when they run
 	// it no more.
 	CancelHold func(hold Hold, fencing FencingNumber, confirmed func())
@@ -161,27 +163,31 @@
 		return
 	}
 	now := d.config.Now()
-	hosts := d.config.Hosts(d.config.AvailabilityZone)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.all = map[ShardID]shard.Shard{}
 	for _, s := range shard.Divide(state) {
-		if s.Key.AvailabilityZone != d.config.AvailabilityZone {
+		if s.Key.AvailabilityZone != d.config.AvailabilityZone && s.Key.AvailabilityZone != shard.AllZones {
 			continue
 		}
 		id := NewShardID(s.Key)
 		d.all[id] = s
-		if shard.Owner(s.Key.String(), hosts) == d.config.Host {
+		if d.isOwner(s.Key) {
 			d.own(now, id).standInUntil = time.Time{}
 		}
 	}
 	for id, o := range d.owned {
-		d.refreshShard(now, id, o, hosts)
+		d.refreshShard(now, id, o)
 	}
 }
 
+// isOwner reports whether this daemon is the owner of a shard.
+func (d *Dispatcher) isOwner(key shard.Key) bool {
+	return shard.Owner(key.String(), d.config.Hosts(key.AvailabilityZone)) == d.config.Host
+}
+
 // refreshShard updates one owned shard. The caller holds the lock.
-func (d *Dispatcher) refreshShard(now time.Time, id ShardID, o *ownedShard, hosts []string) {
+func (d *Dispatcher) refreshShard(now time.Time, id ShardID, o *ownedShard) {
 	s, ok := d.all[id]
 	if !ok {
 		delete(d.owned, id)
@@ -189,8 +195,7 @@
 	}
 	o.shard = s
 	o.planner.SetEndpoints(d.markLeaving(s))
-	isOwner := shard.Owner(s.Key.String(), hosts) == d.config.Host
-	if !isOwner && o.standInUntil.IsZero() {
+	if !d.isOwner(s.Key) && o.standInUntil.IsZero() {
 		o.standInUntil = now.Add(standInTime)
 	}
 	d.loseFronts(o)
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -82,6 +82,7 @@
 		return
 	}
 	request := decodeRequest(wire, link.Host(m), now)
+	request.Zone = d.config.ZoneOf(request.Front)
 	d.hear(now, request.ID)
 	_, span := tracer.Start(trace.ContextWithRemoteSpanContext(context.Background(), link.Span(m)), "dispatch offer",
 		trace.WithAttributes(attribute.String("shard", o.shard.Key.String()), attribute.String("request_id", request.ID.String())))
@@ -94,6 +95,9 @@
 	} else {
 		d.send(o, o.planner.Offer(now, request, d.decisions[:0]))
 	}
+	if o.planner.isWaiting(request.ID) || o.hasOffer(request.ID) {
+		d.publish(request.Front, kindQueued, noShard, request.ID)
+	}
 	if o.isBusy() {
 		d.wake()
 	}
@@ -105,10 +109,7 @@
 }
 
 func (d *Dispatcher) wake() {
-	select {
-	case d.busy <- struct{}{}:
-	default:
-	}
+	notify(d.busy)
 }
 
 // find returns the owned shard that knows a request, or nil.
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -3,8 +3,6 @@
 import (
 	"container/heap"
 	"time"
-
-	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
 // placement is a choice of endpoints with its predicted times.
@@ -99,7 +97,7 @@
 	h := &hold{
 		request: w.request, prefill: choice.prefill, decode: choice.decode,
 		prefillTokens: choice.tokens, bytes: choice.bytes,
-		pieces: Pieces(w.request.PromptTokens, w.request.OutputTokens),
+		pieces: memoryPieces(p.service, w.request),
 		work:   work, priority: priority, grantedAt: now, decodeAt: now,
 	}
 	result := Grant{ID: w.request.ID, Front: w.request.Front, Decode: choice.decode.endpoint.Name, Priority: priority}
@@ -124,7 +122,7 @@
 	if decode == nil {
 		return placement{}, false
 	}
-	if p.service.Kind == ticket.KindPlain {
+	if p.needsNoPrefill(w.request) {
 		return placement{decode: decode}, true
 	}
 	return p.choosePrefill(now, w, priority, decode)
@@ -133,7 +131,7 @@
 // chooseDecode returns the open endpoint with the largest free part of its
 // places that has the memory, or nil.
 func (p *Planner) chooseDecode(now time.Time, w *waiting) *decodeEndpoint {
-	pieces := Pieces(w.request.PromptTokens, w.request.OutputTokens)
+	pieces := memoryPieces(p.service, w.request)
 	var best *decodeEndpoint
 	bestShare := 0.0
 	for _, e := range p.decode {
@@ -166,7 +164,7 @@
 		}
 		tokens := float64(max(request.PromptTokens-e.prefixes.saved(request.Prefixes), 1))
 		finish := e.backlog(now, priority) + time.Duration(tokens/e.tokensPerSecond()*float64(time.Second))
-		firstToken := finish + transfer + p.queues.ranks[request.Rank].targets.gap
+		firstToken := finish + transfer + p.firstStep(request.Rank)
 		if best.prefill == nil || firstToken < best.firstToken {
 			best = placement{prefill: e, decode: decode, tokens: tokens, bytes: bytes, firstToken: firstToken}
 		}
@@ -206,7 +204,7 @@
 		w.blockedSince = now
 	}
 	patience := p.queues.ranks[w.request.Rank].targets.firstToken / 4
-	pieces := Pieces(w.request.PromptTokens, w.request.OutputTokens)
+	pieces := memoryPieces(p.service, w.request)
 	if pieces <= 1 || now.Sub(w.blockedSince) < patience {
 		return
 	}
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -166,6 +166,15 @@
 	return total
 }
 
+// firstStep returns the time from the end of a prefill to the first token: the
+// service's own figure, or one gap at its target.
+func (p *Planner) firstStep(rank int) time.Duration {
+	if p.service.FirstStep > 0 {
+		return time.Duration(p.service.FirstStep)
+	}
+	return p.queues.ranks[rank].targets.gap
+}
+
 // countFree refreshes the number of free decode places.
 func (p *Planner) countFree(now time.Time) {
 	p.freeDecode = 0
@@ -194,7 +203,7 @@
 	adopted.Request.Rank = min(max(adopted.Request.Rank, 0), len(p.queues.ranks)-1)
 	h := &hold{
 		request: adopted.Request, stage: StageDecode, decode: decode, priority: adopted.Request.Rank,
-		pieces:    Pieces(adopted.Request.PromptTokens, adopted.Request.OutputTokens),
+		pieces:    memoryPieces(p.service, adopted.Request),
 		grantedAt: now, decodeAt: now,
 	}
 	for _, e := range p.prefill {
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -34,6 +34,10 @@
 	if _, ok := p.holds[id]; ok {
 		return true
 	}
+	return p.isWaiting(id)
+}
+
+func (p *Planner) isWaiting(id RequestID) bool {
 	_, ok := p.queues.queued[id]
 	return ok
 }
@@ -46,12 +50,12 @@
 
 // unfit returns why no endpoint can serve the request before latest, or "".
 func (p *Planner) unfit(request Request, latest time.Time) Cause {
-	prefill := p.service.Kind == ticket.KindPlain
+	prefill := p.needsNoPrefill(request)
 	for _, e := range p.prefill {
 		prefill = prefill || (e.isUsable() && e.health.coolUntil.Before(latest) && e.endpoint.Name != request.Exclude)
 	}
 	decode, large := false, false
-	pieces := Pieces(request.PromptTokens, request.OutputTokens)
+	pieces := memoryPieces(p.service, request)
 	for _, e := range p.decode {
 		if !e.isUsable() || !e.health.coolUntil.Before(latest) || e.endpoint.Name == request.Exclude {
 			continue
@@ -68,6 +72,14 @@
 	return ""
 }
 
+// needsNoPrefill reports whether a decode place alone serves a request.
+func (p *Planner) needsNoPrefill(request Request) bool {
+	if p.service.Kind == ticket.KindPlain || request.DecodeOnly {
+		return true
+	}
+	return p.service.DecodeReadsPrompts && p.prefillRate() == 0
+}
+
 // leastTime returns the time from the grant to the first token when nothing is
 // in the way.
 func (p *Planner) leastTime(request Request) time.Duration {
@@ -80,7 +92,7 @@
 	if best == 0 {
 		return 0
 	}
-	return time.Duration(float64(request.PromptTokens)/best*float64(time.Second)) + p.queues.ranks[request.Rank].targets.gap
+	return time.Duration(float64(request.PromptTokens)/best*float64(time.Second)) + p.firstStep(request.Rank)
 }
 
 // Withdraw removes a request whose caller is gone while it waits. It reports
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -55,6 +55,7 @@
 	kindRefusal
 	kindReport
 	kindAudit
+	kindQueued
 )
 
 // wireMessage is the envelope of all messages.
@@ -76,11 +77,30 @@
 	// AgeMilliseconds is the time since arrival, so that clocks need not agree.
 	AgeMilliseconds int64
 	Exclude         string
-	Suspect         bool
+	Flags           requestFlags
+}
+
+// requestFlags are the properties of a request that it has or has not.
+type requestFlags uint8
+
+const (
+	flagSuspect requestFlags = 1 << iota
+	flagDecodeOnly
+)
+
+func flagsOf(r Request) requestFlags {
+	var flags requestFlags
+	if r.Suspect {
+		flags |= flagSuspect
+	}
+	if r.DecodeOnly {
+		flags |= flagDecodeOnly
+	}
+	return flags
 }
 
 // wireDone is the body of kindDone, and of kindBusy when the failed endpoint was
-// full. The body of kindPrefilled and kindStarted is a RequestID.
+// full. The body of kindPrefilled, kindStarted and kindQueued is a RequestID.
 type wireDone struct {
 	_              struct{} `cbor:",toarray"`
 	ID             RequestID
@@ -128,7 +148,7 @@
 	return wireRequest{
 		ID: r.ID, Caller: r.Caller, Rank: r.Rank,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		AgeMilliseconds: now.Sub(r.Arrival).Milliseconds(), Exclude: r.Exclude, Suspect: r.Suspect,
+		AgeMilliseconds: now.Sub(r.Arrival).Milliseconds(), Exclude: r.Exclude, Flags: flagsOf(r),
 		Prefixes: r.Prefixes,
 	}
 }
@@ -143,7 +163,8 @@
 		OutputTokens: min(max(w.OutputTokens, 0), maxPromptTokens),
 		Arrival:      now.Add(-time.Duration(max(w.AgeMilliseconds, 0)) * time.Millisecond),
 		Exclude:      w.Exclude,
-		Suspect:      w.Suspect,
+		Suspect:      w.Flags&flagSuspect != 0,
+		DecodeOnly:   w.Flags&flagDecodeOnly != 0,
 	}
 	r.Prefixes = w.Prefixes[:min(len(w.Prefixes), len(PrefixTokens))]
 	return r
--- /dev/null
+++ b/pkg/member/registration.go
@@ -0,0 +1,135 @@
+package member
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+const (
+	// RegistrationPrefix begins the store's keys of daemons.
+	RegistrationPrefix = "turmerictide/members/"
+	// registrationTTL is the time for which an entry outlives its daemon.
+	registrationTTL = 12 * time.Second
+	// renewPeriod spaces the renewals, three within the entry's time.
+	renewPeriod = 4 * time.Second
+	// registrationRetry spaces the attempts to register.
+	registrationRetry = 500 * time.Millisecond
+)
+
+// Registration keeps an entry of this daemon in the platform's store, so that
+// daemons find each other there.
+type Registration struct {
+	store *store.Store
+	self  Member
+	log   logr.Logger
+	done  chan struct{}
+	lost  chan struct{}
+
+	mu         sync.Mutex
+	lease      store.LeaseID
+	registered bool
+}
+
+// NewRegistration returns a Registration of a daemon.
+func NewRegistration(s *store.Store, self Member, log logr.Logger) *Registration {
+	return &Registration{store: s, self: self, log: log, done: make(chan struct{}), lost: make(chan struct{}, 1)}
+}
+
+// Done is closed when Serve has returned.
+func (r *Registration) Done() <-chan struct{} {
+	return r.done
+}
+
+// Serve registers the daemon and renews its entry until ctx ends.
+func (r *Registration) Serve(ctx context.Context) error {
+	defer close(r.done)
+	for {
+		pause := renewPeriod
+		if err := r.renew(ctx); err != nil {
+			pause = registrationRetry
+			r.log.Info("daemon is not registered", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.lost:
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (r *Registration) renew(ctx context.Context) error {
+	r.mu.Lock()
+	lease, registered := r.lease, r.registered
+	r.mu.Unlock()
+	if registered {
+		err := r.store.KeepLease(ctx, lease)
+		if !errors.Is(err, store.ErrLeaseEnded) {
+			return err
+		}
+	}
+	return r.register(ctx)
+}
+
+func (r *Registration) register(ctx context.Context) error {
+	lease, err := r.store.GrantLease(ctx, registrationTTL)
+	if err != nil {
+		return errors.Newf("grant lease: %w", err)
+	}
+	value, err := link.Encode(encodeMember(r.self))
+	if err != nil {
+		return errors.Newf("encode member: %w", err)
+	}
+	put := store.Put{Key: RegistrationPrefix + r.self.Host, Value: value, Lease: lease}
+	if _, err := r.store.Commit(ctx, store.Commit{Puts: []store.Put{put}}); err != nil {
+		return errors.Newf("write entry: %w", err)
+	}
+	r.mu.Lock()
+	r.lease, r.registered = lease, true
+	r.mu.Unlock()
+	r.log.Info("daemon is registered", "lease", lease)
+	return nil
+}
+
+// Update takes the content of the store: it registers again when the entry of
+// this daemon is missing, and returns the addresses of the other daemons.
+func (r *Registration) Update(content store.Content) []netip.AddrPort {
+	var seeds []netip.AddrPort
+	found := false
+	for key, entry := range content.Entries {
+		host, ok := strings.CutPrefix(key, RegistrationPrefix)
+		if !ok {
+			continue
+		}
+		found = found || host == r.self.Host
+		var wire wireMember
+		if err := link.Decode(entry.Value, &wire); err != nil {
+			r.log.Info("entry of a daemon cannot be read", "key", key, "error", err.Error())
+			continue
+		}
+		seeds = append(seeds, decodeMember(wire).Peer)
+	}
+	r.mu.Lock()
+	missing := r.registered && !found
+	if missing {
+		r.registered = false
+	}
+	r.mu.Unlock()
+	if missing {
+		r.log.Info("entry of this daemon was taken away")
+		select {
+		case r.lost <- struct{}{}:
+		default:
+		}
+	}
+	return seeds
+}
--- a/pkg/member/service.go
+++ b/pkg/member/service.go
@@ -97,6 +97,7 @@
 	done   chan struct{}
 
 	mu            sync.Mutex
+	seeds         []netip.AddrPort
 	table         *Table
 	inbound       map[string]time.Time
 	lastHeartbeat time.Time
@@ -117,6 +118,7 @@
 func NewService(config Config) *Service {
 	return &Service{
 		config:    config,
+		seeds:     config.Seeds,
 		done:      make(chan struct{}),
 		table:     NewTable(config.Self, config.Now()),
 		inbound:   map[string]time.Time{},
@@ -127,6 +129,14 @@
 	}
 }
 
+// AddSeeds adds the addresses of daemons that were found elsewhere to those of
+// the settings.
+func (s *Service) AddSeeds(found []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = append(append([]netip.AddrPort(nil), s.config.Seeds...), found...)
+}
+
 // Done is closed when Serve has returned.
 func (s *Service) Done() <-chan struct{} {
 	return s.done
@@ -203,7 +213,7 @@
 			candidates = append(candidates, host)
 		}
 	}
-	for _, seed := range s.config.Seeds {
+	for _, seed := range s.seeds {
 		if seed != s.config.Self.Peer && !s.knowsAddress(seed) {
 			candidates = append(candidates, seed.String())
 		}
--- /dev/null
+++ b/pkg/metric/routed.go
@@ -0,0 +1,29 @@
+package metric
+
+import (
+	"github.com/turmerictide/turmerictide/pkg/relay"
+)
+
+// The names of the metrics that RecordRouted counts beside those of Record.
+const (
+	NameServedKindPrefix = "served_kind_"
+	NameCausePrefix      = "failed_cause_"
+	NameSends            = "sends"
+	NameFirstTimePrefix  = "first_milliseconds_kind_"
+)
+
+// RecordRouted counts one call that was served by its route.
+func (s *Set) RecordRouted(served relay.Served) {
+	s.counter(NameRequests).Inc(1)
+	s.counter(NameSends).Inc(int64(served.Sends))
+	if served.Cause != relay.CauseNone {
+		s.counter(NameCausePrefix + string(served.Cause)).Inc(1)
+		return
+	}
+	s.counter(NameServedKindPrefix + string(served.Kind)).Inc(1)
+	s.histogram(NameFirstTimePrefix + string(served.Kind)).Update(int64(served.First) / millisecondsPerUnit)
+	s.histogram(NameTotalTime).Update(int64(served.Total) / millisecondsPerUnit)
+	if served.InTarget {
+		s.counter(NameGoodput).Inc(1)
+	}
+}
--- /dev/null
+++ b/pkg/relay/event.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// event is one whole event of a stream, as it came.
+type event struct {
+	raw []byte
+	// id is the number in the event's id field.
+	id    int64
+	hasID bool
+}
+
+var errEventSize = errors.New("event is too large")
+
+// eventReader reads whole events (WHATWG HTML, section "Server-sent events").
+type eventReader struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+func newEventReader(body ReplyBody) *eventReader {
+	return &eventReader{reader: bufio.NewReader(body)}
+}
+
+// next returns the next whole event. The error is io.EOF only when the stream
+// is complete and nothing of an event was left over. The event is valid until
+// the next call.
+func (r *eventReader) next() (event, error) {
+	r.buffer = r.buffer[:0]
+	var e event
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.buffer = append(r.buffer, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(r.buffer) < maxEventBytes {
+			continue
+		}
+		if err != nil {
+			if len(bytes.TrimSpace(r.buffer)) > 0 {
+				return event{}, errors.Newf("stream ends within an event: %v", err)
+			}
+			return event{}, err
+		}
+		if len(r.buffer) > maxEventBytes {
+			return event{}, errEventSize
+		}
+		text := bytes.TrimRight(r.buffer, "\r\n")
+		if ended := len(bytes.TrimRight(line, "\r\n")) == 0; ended && len(text) > 0 {
+			e.raw = r.buffer
+			e.id, e.hasID = eventID(text)
+			return e, nil
+		}
+	}
+}
+
+// eventID returns the number in the last id field of an event.
+func eventID(text []byte) (int64, bool) {
+	id, found := int64(0), false
+	for len(text) > 0 {
+		var line []byte
+		line, text, _ = bytes.Cut(text, []byte("\n"))
+		value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("id:"))
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err == nil {
+			id, found = number, true
+		}
+	}
+	return id, found
+}
--- /dev/null
+++ b/pkg/relay/model.go
@@ -0,0 +1,334 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/connection"
+	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/poison"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+const (
+	// maxModelSends bounds the calls that one request makes to engines.
+	maxModelSends = 6
+	// prefillGrace is added to the predicted time of a prefill before it counts
+	// as lost.
+	prefillGrace = 500 * time.Millisecond
+	// leastPrefillRate is the prompt tokens a millisecond of a slow engine.
+	leastPrefillRate = 12
+	// handleMargin is taken off the time for which a KV cache is kept.
+	handleMargin = 100 * time.Millisecond
+	// freeTimeout bounds the call that frees a KV cache.
+	freeTimeout = time.Second
+	// grantAge is the age after which a grant is not used, because the process
+	// was stopped in between.
+	grantAge = time.Second
+)
+
+// errNotRun reports that an endpoint refused a call and did not run it.
+var errNotRun = errors.New("endpoint did not run the call")
+
+// modelRun drives one request through prefill and decode.
+type modelRun struct {
+	relay  *Relay
+	job    *job
+	stream stream
+	rank   int
+	// fingerprint identifies requests with the same content.
+	fingerprint poison.Fingerprint
+	// handle is a KV cache that no endpoint has fetched yet, until handleUntil.
+	handle      Handle
+	handleUntil time.Time
+	// exclude names the endpoint that has just failed.
+	exclude string
+}
+
+// serveModel serves a request to model engines.
+func (r *Relay) serveModel(ctx context.Context, j *job) error {
+	rank, ok := rankOf(j.state, j.service.Name, j.route.Priority)
+	if !ok {
+		return &Fault{Cause: CauseNoEndpoint, RetryAfter: stateRetryAfter}
+	}
+	m := &modelRun{
+		relay: r, job: j, rank: rank,
+		stream:      stream{job: j, last: j.call.LastEvent},
+		fingerprint: poison.NewFingerprint(j.service.Name, append([]byte(j.call.Target+"\n"), j.call.Body...)),
+	}
+	defer m.free()
+	var failure error
+	for {
+		err := m.attempt(ctx)
+		if err == nil {
+			m.clearSuspicion()
+			return nil
+		}
+		var fault *Fault
+		if errors.As(err, &fault) {
+			if failure != nil && j.answer.Started() {
+				return failure
+			}
+			return fault
+		}
+		failure = err
+		r.config.Log.Info("attempt has failed", "request_id", j.call.ID, "endpoint", j.endpoint, "error", err.Error(),
+			"sends", j.sends, "runs", j.runs, "last_event", m.stream.last, "age_ms", r.config.Now().Sub(j.call.Arrival).Milliseconds())
+		if ctx.Err() != nil || errors.Is(err, errCallerWrite) || !m.mayRepeat(err) || !r.sendAgain(j) {
+			return err
+		}
+	}
+}
+
+// mayRepeat reports whether another endpoint may take the request on.
+func (m *modelRun) mayRepeat(err error) bool {
+	j := m.job
+	if j.sends >= maxModelSends {
+		return false
+	}
+	if errors.IsAny(err, errNotRun, connection.ErrNotSent) && !j.mayHaveRun {
+		return true
+	}
+	return (j.route.Resumable || !j.mayHaveRun) && j.runs < j.route.MaxAttempts
+}
+
+// attempt acquires places, uses them and gives them back.
+func (m *modelRun) attempt(ctx context.Context) error {
+	r, j := m.relay, m.job
+	now := r.config.Now()
+	verdict, until := r.config.Poison.Verdict(now, m.fingerprint)
+	if verdict == poison.VerdictCondemned {
+		return &Fault{Cause: CausePoisoned, RetryAfter: until.Sub(now)}
+	}
+	request := dispatch.Request{
+		ID: r.config.Client.NewRequestID(), Front: r.config.Host, Caller: j.call.Caller, Rank: m.rank,
+		PromptTokens: j.call.PromptTokens, OutputTokens: j.call.OutputTokens, Prefixes: j.call.Prefixes,
+		Arrival: j.call.Arrival, Exclude: m.exclude, Suspect: verdict == poison.VerdictSuspect,
+		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone,
+	}
+	if j.sends > 0 {
+		// A repeated request is late through no fault of its caller, so it starts anew.
+		request.Arrival = now
+	}
+	reservation, err := r.acquire(ctx, j, request)
+	if err != nil {
+		return err
+	}
+	outcome, err := m.drive(ctx, reservation, request.Suspect)
+	reservation.Done(outcome)
+	m.exclude = outcome.FailedEndpoint
+	return err
+}
+
+// decodeOnly reports whether the next attempt needs no prefill endpoint: a KV
+// cache waits, or a further prefill would count as an attempt too many.
+func (m *modelRun) decodeOnly(now time.Time) bool {
+	if m.handle.ID != "" && now.Before(m.handleUntil) {
+		return true
+	}
+	m.free()
+	return m.job.prefills > 0 && m.job.runs+m.job.prefills >= m.job.route.MaxAttempts
+}
+
+// acquire waits for places, at most as long as the target allows.
+func (r *Relay) acquire(ctx context.Context, j *job, request dispatch.Request) (*dispatch.Reservation, error) {
+	left := j.route.Target - r.config.Now().Sub(request.Arrival)
+	limited, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	reservation, err := r.config.Client.Acquire(limited, j.service.Name, request)
+	var refused *dispatch.RefusedError
+	switch {
+	case err == nil:
+		return reservation, nil
+	case ctx.Err() != nil:
+		return nil, context.Cause(ctx)
+	case errors.As(err, &refused):
+		r.config.Log.Info("request is refused", "request_id", j.call.ID, "cause", refused.Refusal.Cause,
+			"rank", request.Rank, "prompt_tokens", request.PromptTokens, "retry_after_ms", refused.Refusal.RetryAfter.Milliseconds(),
+			"waited_ms", r.config.Now().Sub(request.Arrival).Milliseconds())
+		cause := CauseTooLate
+		if refused.Refusal.Cause == dispatch.CauseNoEndpoint {
+			cause = CauseNoEndpoint
+		}
+		return nil, &Fault{Cause: cause, RetryAfter: refused.Refusal.RetryAfter}
+	}
+	r.config.Log.Info("no dispatcher has decided", "request_id", j.call.ID, "error", err.Error())
+	return nil, &Fault{Cause: CauseNoEndpoint, RetryAfter: modelRetryAfter}
+}
+
+// modelRetryAfter is the time in which a lost dispatcher or pool is replaced.
+const modelRetryAfter = 1500 * time.Millisecond
+
+// drive runs prefill and decode.
+func (m *modelRun) drive(ctx context.Context, reservation *dispatch.Reservation, suspect bool) (dispatch.Outcome, error) {
+	r := m.relay
+	if r.config.Now().Sub(reservation.GrantedAt) > grantAge {
+		return dispatch.Outcome{}, errors.Newf("grant is too old: %w", errNotRun)
+	}
+	urgency := reservation.Grant.Priority
+	if reservation.Prefill.Name != "" {
+		if outcome, err := m.prefill(ctx, reservation, urgency); err != nil {
+			return outcome, err
+		}
+	}
+	return m.decode(ctx, reservation, urgency, suspect)
+}
+
+// endpointOf returns the endpoint of a grant if it still takes new work.
+func (m *modelRun) endpointOf(granted ticket.Endpoint) (directory.Endpoint, error) {
+	state := m.relay.config.State()
+	e, ok := state.Endpoints[granted.Name]
+	if !ok || e.Leaving || e.Address != granted.Address {
+		return directory.Endpoint{}, errors.Newf("endpoint %s is leaving: %w", granted.Name, errNotRun)
+	}
+	return e, nil
+}
+
+func (m *modelRun) prefill(ctx context.Context, reservation *dispatch.Reservation, urgency int) (dispatch.Outcome, error) {
+	r, j := m.relay, m.job
+	failed := dispatch.Outcome{FailedEndpoint: reservation.Prefill.Name}
+	endpoint, err := m.endpointOf(reservation.Prefill)
+	if err != nil {
+		return failed, err
+	}
+	now := r.config.Now()
+	limit := prefillGrace + time.Duration(j.call.PromptTokens/leastPrefillRate)*time.Millisecond
+	limited, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
+	defer cancel()
+	j.sends++
+	j.endpoint = endpoint.Name
+	handle, reply, err := r.config.Endpoints.Prefill(limited, endpoint, j.call, Order{
+		Prefill: true, LastEvent: m.stream.last, Urgency: urgency, Left: j.until.Sub(now),
+	})
+	if reply != nil {
+		_ = reply.Body.Close()
+		failed.Busy = reply.NotRun && !reply.Misdirected
+		return failed, errors.Newf("prefill was answered with %d: %w", reply.Status, errNotRun)
+	}
+	if err != nil {
+		if !errors.Is(err, connection.ErrNotSent) {
+			j.prefills++
+		}
+		return failed, errors.Newf("prefill: %w", err)
+	}
+	if j.prefills > 0 {
+		j.runs++
+	}
+	j.prefills++
+	m.handle = handle
+	m.handleUntil = r.config.Now().Add(j.service.Engine.HandleTime - handleMargin)
+	reservation.Prefilled()
+	return dispatch.Outcome{}, nil
+}
+
+func (m *modelRun) decode(ctx context.Context, reservation *dispatch.Reservation, urgency int, suspect bool) (dispatch.Outcome, error) {
+	r, j := m.relay, m.job
+	failed := dispatch.Outcome{FailedEndpoint: reservation.Decode.Name}
+	endpoint, err := m.endpointOf(reservation.Decode)
+	if err != nil {
+		return failed, err
+	}
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if j.route.Resumable {
+		watch := time.AfterFunc(firstSilence+j.route.Target/2, silence(cancel))
+		defer watch.Stop()
+	}
+	j.sends++
+	j.endpoint = endpoint.Name
+	order := Order{Source: m.handle, LastEvent: m.stream.last, Urgency: urgency, Left: j.until.Sub(r.config.Now())}
+	reply, err := r.config.Endpoints.Send(sending, endpoint, j.call, order)
+	if err != nil {
+		if !errors.Is(err, connection.ErrNotSent) {
+			m.handle = Handle{}
+			m.noteRun()
+			m.noteCrash(ctx, endpoint, suspect)
+		}
+		return failed, errors.Newf("decode: %w", err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.NotRun || reply.Misdirected {
+		failed.Busy = reply.NotRun && !reply.Misdirected
+		if m.handle.ID != "" && reply.Misdirected {
+			return failed, errors.Newf("another endpoint has the address: %w", errNotRun)
+		}
+		m.free()
+		return failed, errors.Newf("decode was refused with %d: %w", reply.Status, errNotRun)
+	}
+	m.handle = Handle{}
+	m.noteRun()
+	reservation.Started()
+	if !isStream(reply) {
+		return failed, j.answer.pass(reply)
+	}
+	err = m.stream.relay(reply, r.config.Now, silence(cancel))
+	outcome := dispatch.Outcome{OutputTokens: m.stream.events}
+	if err == nil || errors.Is(err, errCallerWrite) || ctx.Err() != nil {
+		return outcome, err
+	}
+	if cause := context.Cause(sending); errors.Is(cause, errSilent) {
+		err = errors.Newf("%w: %w", cause, err)
+	} else {
+		m.noteCrash(ctx, endpoint, suspect)
+	}
+	outcome.FailedEndpoint = endpoint.Name
+	return outcome, err
+}
+
+// noteRun notes that an endpoint may have begun to run the request.
+func (m *modelRun) noteRun() {
+	m.job.mayHaveRun = true
+	m.job.runs++
+}
+
+// free tells the endpoint that holds an unused KV cache to drop it.
+func (m *modelRun) free() {
+	handle := m.handle
+	if handle.ID == "" {
+		return
+	}
+	m.handle = Handle{}
+	r, id := m.relay, m.job.call.ID
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if err := r.config.Endpoints.Free(ctx, handle); err != nil {
+			r.config.Log.V(1).Info("KV cache was not freed", "request_id", id, "error", err.Error())
+		}
+	}()
+}
+
+// noteCrash suspects the request when the endpoint that ran it takes no
+// connections any more.
+func (m *modelRun) noteCrash(ctx context.Context, endpoint directory.Endpoint, suspect bool) {
+	if ctx.Err() != nil {
+		return
+	}
+	r := m.relay
+	mark := r.config.Poison.Crash(r.config.Now(), m.fingerprint, endpoint.Name, suspect)
+	r.config.SpreadMark(mark)
+	r.config.Log.Info("request ran on an endpoint that broke off", "request_id", m.job.call.ID, "endpoint", endpoint.Name, "verdict", mark.Verdict)
+}
+
+// clearSuspicion lifts a suspicion of a request that has ended well.
+func (m *modelRun) clearSuspicion() {
+	if mark, ok := m.relay.config.Poison.Complete(m.relay.config.Now(), m.fingerprint); ok {
+		m.relay.config.SpreadMark(mark)
+	}
+}
+
+// rankOf returns the rank of a priority among the routes of a service.
+func rankOf(state *directory.State, service string, priority int) (int, bool) {
+	for i, p := range directory.Priorities(state, service) {
+		if p == priority {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+var _ = http.StatusOK
--- /dev/null
+++ b/pkg/relay/plain.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/balance"
+	"github.com/turmerictide/turmerictide/pkg/connection"
+	"github.com/turmerictide/turmerictide/pkg/directory"
+)
+
+const (
+	// maxSends bounds the endpoints that one call is sent to.
+	maxSends = 3
+	// hedgeTargets is the part of the latency target after which an idempotent
+	// call that has no answer is sent to a second endpoint.
+	hedgeTargets = 0.6
+	// leastLeft is the time below which a call is not sent any more.
+	leastLeft = 5 * time.Millisecond
+)
+
+// sent is what became of one sending of a call.
+type sent struct {
+	endpoint directory.Endpoint
+	reply    *Reply
+	err      error
+	at       time.Time
+	cancel   context.CancelFunc
+}
+
+// plainRun drives the sendings of one plain call.
+type plainRun struct {
+	relay   *Relay
+	job     *job
+	tried   map[string]bool
+	results chan sent
+	pending map[string]context.CancelFunc
+	// failed is an endpoint's own failure, passed on when nothing better comes.
+	failed *sent
+}
+
+// servePlain sends a call to a plain endpoint, and to a second one where that is
+// allowed and the first did not run it, failed, or takes long.
+func (r *Relay) servePlain(ctx context.Context, j *job) error {
+	run := &plainRun{
+		relay: r, job: j, tried: map[string]bool{},
+		results: make(chan sent, maxSends), pending: map[string]context.CancelFunc{},
+	}
+	defer run.close()
+	if err := run.send(ctx); err != nil {
+		return err
+	}
+	return run.await(ctx)
+}
+
+// close ends the sendings whose answer is not needed.
+func (p *plainRun) close() {
+	for _, cancel := range p.pending {
+		cancel()
+	}
+	if p.failed != nil {
+		_ = p.failed.reply.Body.Close()
+		p.failed.cancel()
+	}
+}
+
+// send starts one more sending.
+func (p *plainRun) send(ctx context.Context) error {
+	r, j := p.relay, p.job
+	now := r.config.Now()
+	if j.until.Sub(now) < leastLeft {
+		return &Fault{Cause: CauseTooLate, RetryAfter: refusalRetryAfter}
+	}
+	endpoint, ok := r.choose(now, j.service.Name, p.tried)
+	if !ok {
+		return &Fault{Cause: CauseNoEndpoint, RetryAfter: refusalRetryAfter}
+	}
+	if j.sends > 0 && !r.sendAgain(j) {
+		return &Fault{Cause: CauseFull, RetryAfter: refusalRetryAfter}
+	}
+	p.tried[endpoint.Name] = true
+	j.sends++
+	j.endpoint = endpoint.Name
+	ctx, cancel := context.WithCancel(ctx)
+	p.pending[endpoint.Name] = cancel
+	go func() {
+		reply, err := r.config.Endpoints.Send(ctx, endpoint, j.call, Order{LastEvent: j.call.LastEvent, Left: j.until.Sub(now)})
+		if err == nil && reply.Status < http.StatusInternalServerError && !reply.NotRun {
+			if err = bufferReply(reply); err != nil {
+				_ = reply.Body.Close()
+			}
+		}
+		result := sent{endpoint: endpoint, reply: reply, err: err, at: now, cancel: cancel}
+		r.judgePlain(ctx, result)
+		p.results <- result
+	}()
+	return nil
+}
+
+// choose returns the best endpoint of a service and books a request there.
+func (r *Relay) choose(now time.Time, service string, tried map[string]bool) (directory.Endpoint, bool) {
+	serving := r.config.State().Serving(service)
+	candidates := make([]balance.Candidate, len(serving))
+	for i, e := range serving {
+		candidates[i] = balance.Candidate{Name: e.Name, Places: e.Places, Local: e.AvailabilityZone == r.config.AvailabilityZone}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	chosen := r.balancer.Choose(now, candidates, tried, rand.Float64())
+	if chosen < 0 {
+		return directory.Endpoint{}, false
+	}
+	r.balancer.Sent(serving[chosen].Name)
+	return serving[chosen], true
+}
+
+// judgePlain tells the balancer what became of a sending.
+func (r *Relay) judgePlain(ctx context.Context, s sent) {
+	outcome := balance.Answered
+	switch {
+	case errors.Is(s.err, connection.ErrLimit):
+		outcome = balance.Refused
+	case errors.Is(s.err, connection.ErrNotSent):
+		outcome = balance.Unreachable
+	case errors.Is(context.Cause(ctx), context.Canceled) && s.err != nil:
+		outcome = balance.Cancelled
+	case s.err != nil:
+		outcome = balance.Failed
+	case s.reply.NotRun || s.reply.Misdirected:
+		outcome = balance.Refused
+	case s.reply.Status >= http.StatusInternalServerError:
+		outcome = balance.Failed
+	}
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Ended(now, s.endpoint.Name, outcome, now.Sub(s.at))
+}
+
+// await waits for an answer to pass on.
+func (p *plainRun) await(ctx context.Context) error {
+	j := p.job
+	hedge := time.NewTimer(time.Duration(hedgeTargets * float64(j.route.Target)))
+	defer hedge.Stop()
+	for len(p.pending) > 0 {
+		select {
+		case <-ctx.Done():
+			j.mayHaveRun = true
+			return context.Cause(ctx)
+		case <-hedge.C:
+			if j.route.IsRepeatable() && j.runs+len(p.pending) < j.route.MaxAttempts && j.sends < maxSends {
+				if err := p.send(ctx); err == nil {
+					p.relay.config.Log.Info("call is sent to a second endpoint", "request_id", j.call.ID, "endpoint", j.endpoint)
+				}
+			}
+		case s := <-p.results:
+			delete(p.pending, s.endpoint.Name)
+			done, err := p.take(ctx, s)
+			if done {
+				return err
+			}
+		}
+	}
+	if p.failed != nil {
+		failed := p.failed
+		p.failed = nil
+		defer failed.cancel()
+		j.endpoint = failed.endpoint.Name
+		return j.answer.pass(failed.reply)
+	}
+	if j.mayHaveRun {
+		return &Fault{Cause: CauseEndpointFailed}
+	}
+	return &Fault{Cause: CauseFull, RetryAfter: refusalRetryAfter}
+}
+
+// take looks at the result of one sending. It reports whether the call is done.
+func (p *plainRun) take(ctx context.Context, s sent) (bool, error) {
+	j := p.job
+	switch {
+	case errors.Is(s.err, connection.ErrNotSent):
+		s.cancel()
+	case s.err != nil:
+		s.cancel()
+		j.mayHaveRun = true
+		j.runs++
+		if !j.route.IsRepeatable() {
+			return true, s.err
+		}
+	case s.reply.NotRun || s.reply.Misdirected:
+		_ = s.reply.Body.Close()
+		s.cancel()
+	case s.reply.Status >= http.StatusInternalServerError && j.route.IsRepeatable():
+		j.mayHaveRun = true
+		j.runs++
+		p.keepFailed(s)
+	default:
+		defer s.cancel()
+		j.mayHaveRun = true
+		j.runs++
+		j.endpoint = s.endpoint.Name
+		return true, j.answer.pass(s.reply)
+	}
+	p.logRetry(s)
+	if j.runs+len(p.pending) < j.route.MaxAttempts && j.sends < maxSends && ctx.Err() == nil {
+		if err := p.send(ctx); err != nil && len(p.pending) == 0 && p.failed == nil {
+			return true, err
+		}
+	}
+	return false, nil
+}
+
+// keepFailed keeps the latest failure that an endpoint answered.
+func (p *plainRun) keepFailed(s sent) {
+	if p.failed != nil {
+		_ = p.failed.reply.Body.Close()
+		p.failed.cancel()
+	}
+	p.failed = &s
+}
+
+func (p *plainRun) logRetry(s sent) {
+	fields := []any{"request_id", p.job.call.ID, "endpoint", s.endpoint.Name, "took_ms", p.relay.config.Now().Sub(s.at).Milliseconds()}
+	if s.err != nil {
+		fields = append(fields, "error", s.err.Error())
+	} else {
+		fields = append(fields, "status", s.reply.Status, "not_run", s.reply.NotRun)
+	}
+	p.relay.config.Log.Info("endpoint did not serve the call", fields...)
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,330 @@
+// Package relay serves requests that operators route by host and path.
+//
+// The flow is: the platform's adapter reads a caller's request into a Call;
+// Relay.Serve finds its route and service; a call to a plain service goes to the
+// endpoint that the Balancer chooses (plain.go), a request to model engines gets
+// a prefill and a decode place from a dispatcher and is driven through both
+// (model.go, stream.go). What may be repeated follows from the route's kind and
+// from what is certain: a request that may run once is sent again only when the
+// endpoint has said, or the connection shows, that it did not run. A Relay never
+// answers twice: an answer that has begun is completed, resumed or visibly broken.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel"
+
+	"github.com/turmerictide/turmerictide/pkg/balance"
+	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/poison"
+	"github.com/turmerictide/turmerictide/pkg/retry"
+	"github.com/turmerictide/turmerictide/pkg/route"
+)
+
+var tracer = otel.Tracer("turmerictide/relay")
+
+// Call is one request of a caller.
+type Call struct {
+	// ID identifies the caller's attempt.
+	ID string
+	// Caller is whose share of the service the request uses.
+	Caller string
+	Method string
+	// Target is the request target as it came, Path its path.
+	Target string
+	Path   string
+	Host   string
+	// Header holds what is passed on to endpoints.
+	Header  http.Header
+	Body    []byte
+	Arrival time.Time
+	// Deadline is when the caller stops waiting, zero when it did not say.
+	Deadline time.Time
+	// PromptTokens and OutputTokens are the size of the prompt and the limit of
+	// the output. Both are zero for plain requests.
+	PromptTokens int
+	OutputTokens int
+	Prefixes     []dispatch.PrefixHash
+	// LastEvent is the last event that the caller has of an earlier answer, or
+	// NoEvent.
+	LastEvent int64
+}
+
+// NoEvent stands for the position before the first event of a stream.
+const NoEvent int64 = -1
+
+// Handle names a KV cache at the endpoint that computed it.
+type Handle struct {
+	Address netip.AddrPort
+	ID      string
+}
+
+// Order tells an endpoint what to do with a call.
+type Order struct {
+	// Prefill asks for the KV cache of the prompt only.
+	Prefill bool
+	// Source is the KV cache to fetch, if its ID is set.
+	Source Handle
+	// LastEvent is the event after which a stream goes on, or NoEvent.
+	LastEvent int64
+	// Urgency is the engine's priority, 0 the most urgent.
+	Urgency int
+	// Left is the time that the endpoint may take.
+	Left time.Duration
+}
+
+// Reply is an endpoint's answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	// Body ends with io.EOF only when it is complete.
+	Body ReplyBody
+	// NotRun is true when the endpoint says that it did not run the request.
+	NotRun bool
+	// Misdirected is true when another endpoint has the address now.
+	Misdirected bool
+}
+
+// ReplyBody is the body of a Reply. Closing it before its end tells the endpoint
+// that nobody waits for the rest.
+type ReplyBody interface {
+	Read(p []byte) (int, error)
+	Close() error
+}
+
+// Endpoints is how calls reach endpoints. Errors wrap connection.ErrNotSent or
+// connection.ErrBroken.
+type Endpoints struct {
+	Send func(ctx context.Context, endpoint directory.Endpoint, call *Call, order Order) (*Reply, error)
+	// Prefill sends a call for its KV cache. The Reply is set when the endpoint
+	// answered anything but a handle.
+	Prefill func(ctx context.Context, endpoint directory.Endpoint, call *Call, order Order) (Handle, *Reply, error)
+	// Free tells an endpoint that a KV cache will not be fetched.
+	Free func(ctx context.Context, handle Handle) error
+}
+
+// Config holds what a Relay needs.
+type Config struct {
+	Host             string
+	AvailabilityZone string
+	State            func() *directory.State
+	Client           *dispatch.Client
+	Endpoints        Endpoints
+	Poison           *poison.Register
+	// SpreadMark tells the other daemons of a verdict on a request.
+	SpreadMark func(poison.Mark)
+	// Daemons returns the number of live daemons, which share the retry budget.
+	Daemons func() int
+	Budget  BudgetSettings
+	Now     func() time.Time
+	Log     logr.Logger
+	Record  func(Served)
+}
+
+// BudgetSettings bounds the requests that all daemons together send again.
+type BudgetSettings struct {
+	// Share is the part of a service's requests that may be sent again.
+	Share float64
+	// Slack is the number beyond that in any window.
+	Slack int
+}
+
+// Served is what is measured of one request.
+type Served struct {
+	Service string
+	Kind    route.Kind
+	// Cause is "" for an answer of an endpoint, and the cause of a failure.
+	Cause Cause
+	// First is the time to the answer, or to the first event.
+	First    time.Duration
+	Total    time.Duration
+	InTarget bool
+	Sends    int
+}
+
+// Relay serves calls.
+type Relay struct {
+	config  Config
+	serving atomic.Int64
+
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	budgets  map[string]*retry.Budget
+}
+
+// New returns a Relay that is ready to serve.
+func New(config Config) *Relay {
+	return &Relay{config: config, balancer: balance.New(), budgets: map[string]*retry.Budget{}}
+}
+
+// Serving returns the number of calls that are being served.
+func (r *Relay) Serving() int {
+	return int(r.serving.Load())
+}
+
+// Refresh forgets endpoints that are gone.
+func (r *Relay) Refresh(state *directory.State) {
+	names := make(map[string]bool, len(state.Endpoints))
+	for name := range state.Endpoints {
+		names[name] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Keep(names)
+}
+
+// job is one call on its way.
+type job struct {
+	call    *Call
+	route   route.Route
+	service directory.Service
+	state   *directory.State
+	answer  *Answer
+	// until is the time of the final answer at the latest.
+	until time.Time
+	// mayHaveRun is true once an endpoint may have begun to run the call.
+	mayHaveRun bool
+	// runs counts the endpoints that may have run it, and prefills beyond the
+	// first.
+	runs     int
+	prefills int
+	sends    int
+	endpoint string
+}
+
+// Serve answers a call. The error is a *Fault when nothing was answered, and
+// ErrAnswerBroken when an answer that had begun cannot be completed.
+func (r *Relay) Serve(ctx context.Context, call *Call, answer *Answer) error {
+	r.serving.Add(1)
+	defer r.serving.Add(-1)
+	ctx, span := tracer.Start(ctx, "relay")
+	defer span.End()
+	j := &job{call: call, answer: answer}
+	err := r.serve(ctx, j)
+	r.conclude(ctx, j, err)
+	return err
+}
+
+func (r *Relay) serve(ctx context.Context, j *job) error {
+	j.state = r.config.State()
+	if j.state == nil {
+		return &Fault{Cause: CauseNoState, RetryAfter: stateRetryAfter}
+	}
+	found, ok := j.state.Config.Routes.Match(j.call.Host, j.call.Path)
+	if !ok {
+		return &Fault{Cause: CauseNoRoute}
+	}
+	j.route = found
+	name := found.Choose(rand.Uint64())
+	j.service, ok = j.state.Config.Services[name]
+	if !ok {
+		return &Fault{Cause: CauseNoEndpoint, RetryAfter: stateRetryAfter}
+	}
+	j.until = j.call.Arrival.Add(found.Timeout)
+	if !j.call.Deadline.IsZero() && j.call.Deadline.Before(j.until) {
+		j.until = j.call.Deadline
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, j.until, errTimeout)
+	defer cancel()
+	r.budget(name).Earn()
+	var err error
+	if j.service.Engine != nil {
+		err = r.serveModel(ctx, j)
+	} else {
+		err = r.servePlain(ctx, j)
+	}
+	return r.settle(ctx, j, err)
+}
+
+// settle turns an error into the answer that the caller gets.
+func (r *Relay) settle(ctx context.Context, j *job, err error) error {
+	var fault *Fault
+	switch {
+	case err == nil:
+		return nil
+	case j.answer.Started():
+		return errors.Newf("%w: %w", ErrAnswerBroken, err)
+	case errors.As(err, &fault) && (fault.Cause.notRun() && !j.mayHaveRun):
+		return fault
+	case errors.Is(context.Cause(ctx), errTimeout) && j.mayHaveRun:
+		return &Fault{Cause: CauseTimeout}
+	case errors.Is(context.Cause(ctx), errTimeout):
+		return &Fault{Cause: CauseTooLate, RetryAfter: refusalRetryAfter}
+	case ctx.Err() != nil:
+		return &Fault{Cause: CauseCallerGone}
+	case j.mayHaveRun:
+		return &Fault{Cause: CauseEndpointFailed}
+	case fault != nil:
+		return fault
+	}
+	return &Fault{Cause: CauseNoEndpoint, RetryAfter: refusalRetryAfter}
+}
+
+// budget returns the retry budget of a service.
+func (r *Relay) budget(service string) *retry.Budget {
+	share := float64(r.config.Budget.Slack) / float64(max(r.config.Daemons(), 1))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.budgets[service]
+	if !ok {
+		b = retry.NewBudget(r.config.Budget.Share)
+		r.budgets[service] = b
+	}
+	b.SetBurst(share)
+	return b
+}
+
+// sendAgain takes a further request to an endpoint from the budget.
+func (r *Relay) sendAgain(j *job) bool {
+	if r.budget(j.service.Name).Spend() {
+		return true
+	}
+	r.config.Log.Info("retry is not allowed by the budget", "request_id", j.call.ID, "service", j.service.Name, "sends", j.sends)
+	return false
+}
+
+// conclude logs and counts what became of a call.
+func (r *Relay) conclude(ctx context.Context, j *job, err error) {
+	now := r.config.Now()
+	cause := CauseNone
+	var fault *Fault
+	if errors.As(err, &fault) {
+		cause = fault.Cause
+	} else if err != nil {
+		cause = CauseBroken
+	}
+	total := now.Sub(j.call.Arrival)
+	first := total
+	if !j.answer.firstAt.IsZero() {
+		first = j.answer.firstAt.Sub(j.call.Arrival)
+	}
+	served := Served{
+		Service: j.service.Name, Kind: j.route.Kind, Cause: cause, First: first, Total: total, Sends: j.sends,
+		InTarget: cause == CauseNone && first <= j.route.Target,
+	}
+	r.config.Record(served)
+	fields := []any{
+		"request_id", j.call.ID, "route", j.route.Name, "service", j.service.Name, "status", j.answer.status,
+		"sends", j.sends, "runs", j.runs, "endpoint", j.endpoint, "first_ms", first.Milliseconds(), "total_ms", total.Milliseconds(),
+	}
+	if j.state != nil {
+		fields = append(fields, "config", j.state.Config.Number, "config_age_ms", now.Sub(j.state.Since).Milliseconds())
+	}
+	if err != nil {
+		fields = append(fields, "cause", cause, "error", err.Error(), "caller_gone", ctx.Err() != nil)
+		if fault != nil {
+			fields = append(fields, "retry_after_ms", fault.RetryAfter.Milliseconds())
+		}
+	}
+	r.config.Log.Info("request is answered", fields...)
+}
--- /dev/null
+++ b/pkg/relay/stream.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/connection"
+)
+
+const (
+	// firstSilence and gapSilence are the silences before the first event and
+	// between events after which a stream that can be resumed goes on elsewhere.
+	// Both are well below the 2 s at which callers begin to give up.
+	firstSilence = 1200 * time.Millisecond
+	gapSilence   = 900 * time.Millisecond
+)
+
+// errSilent ends a sending whose stream has fallen silent.
+var errSilent = errors.New("stream is silent")
+
+// errEventOrder reports events that do not follow on what was passed on.
+var errEventOrder = errors.New("events are out of order")
+
+// stream is the progress of one streamed answer across its endpoints.
+type stream struct {
+	job *job
+	// last is the number of the last event that was passed on.
+	last   int64
+	events int
+	// lastAt is the time at which it was passed on.
+	lastAt time.Time
+}
+
+// relay passes the events of one reply on until the stream is complete. silent
+// is called when nothing came for too long; it must make the body fail.
+func (s *stream) relay(reply *Reply, now func() time.Time, silent func()) error {
+	var watch *time.Timer
+	if s.job.route.Resumable {
+		watch = time.AfterFunc(firstSilence, silent)
+		defer watch.Stop()
+	}
+	reader := newEventReader(reply.Body)
+	for {
+		e, err := reader.next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken) {
+			return s.complete(reply)
+		}
+		if err != nil {
+			return errors.Newf("read event: %w: %w", connection.ErrBroken, err)
+		}
+		if watch != nil {
+			watch.Reset(gapSilence)
+		}
+		if err := s.pass(reply, e, now()); err != nil {
+			return err
+		}
+	}
+}
+
+// pass passes one event on, unless the caller has it already.
+func (s *stream) pass(reply *Reply, e event, now time.Time) error {
+	if e.hasID && e.id <= s.last {
+		return nil
+	}
+	if e.hasID && s.events > 0 && s.last != NoEvent && e.id > s.last+1 && !s.follows(e) {
+		return errors.Newf("event %d after %d: %w: %w", e.id, s.last, errEventOrder, connection.ErrBroken)
+	}
+	answer := s.job.answer
+	if !answer.Started() {
+		answer.start(reply.Status, reply.Header)
+	}
+	if err := answer.write(e.raw); err != nil {
+		return errors.Newf("pass event on: %w: %w", errCallerWrite, err)
+	}
+	if err := answer.push(); err != nil {
+		return errors.Newf("pass event on: %w: %w", errCallerWrite, err)
+	}
+	if e.hasID {
+		s.last = e.id
+	}
+	s.events++
+	s.lastAt = now
+	return nil
+}
+
+// follows reports whether an event may follow although its number is not the
+// next one: one event may carry several tokens.
+func (s *stream) follows(event) bool {
+	return true
+}
+
+// errCallerWrite reports that the caller takes nothing any more.
+var errCallerWrite = errors.New("caller takes nothing")
+
+// complete ends a stream whose endpoint has ended it.
+func (s *stream) complete(reply *Reply) error {
+	if !s.job.answer.Started() {
+		s.job.answer.start(reply.Status, reply.Header)
+	}
+	return nil
+}
+
+// isStream reports whether a reply is a stream of events.
+func isStream(reply *Reply) bool {
+	return reply.Status == http.StatusOK
+}
+
+// silence returns a function that ends a sending because its stream is silent.
+func silence(cancel context.CancelCauseFunc) func() {
+	return func() { cancel(errSilent) }
+}
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -11,13 +11,14 @@
 	"time"
 )
 
-// burst is the number of retries that a quiet service may make at once.
-const burst = 10
+// defaultBurst is the number of retries that a quiet service may make at once.
+const defaultBurst = 10
 
 // Budget limits the retries of one service.
 type Budget struct {
 	mu     sync.Mutex
 	share  float64
+	burst  float64
 	earned float64
 	spent  int64
 	denied int64
@@ -25,7 +26,7 @@
 
 // NewBudget returns a full budget that allows share retries for each request.
 func NewBudget(share float64) *Budget {
-	return &Budget{share: share, earned: burst}
+	return &Budget{share: share, burst: defaultBurst, earned: defaultBurst}
 }
 
 // SetShare changes the allowed retries for each request.
@@ -35,11 +36,19 @@
 	b.share = share
 }
 
+// SetBurst changes the number of retries that may be made at once.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.earned = min(b.earned, burst)
+}
+
 // Earn notes a first attempt.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.earned = min(b.earned+b.share, burst)
+	b.earned = min(b.earned+b.share, b.burst)
 }
 
 // Spend reports whether a retry is allowed and takes it from the budget.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -22,6 +22,7 @@
 	Peers    Peers
 	Operator Operator
 	Limits   Limits
+	Budget   Budget
 	Log      Log
 	Trace    Trace
 }
@@ -32,15 +33,30 @@
 	AvailabilityZone string
 }
 
-// Listen holds the addresses of the three listeners.
+// Listen holds the addresses of the listeners. Ready and Metrics are optional:
+// they answer without a token whether the daemon takes requests, and with its
+// metrics.
 type Listen struct {
 	Caller   netip.AddrPort
 	Operator netip.AddrPort
 	Peer     netip.AddrPort
+	Ready    netip.AddrPort
+	Metrics  netip.AddrPort
 }
 
+// Protocol names what is spoken with callers, endpoints and the store.
+type Protocol string
+
+// The protocols. ProtocolTickets is the project's own interface with tickets in
+// an etcd store; ProtocolPlatform is that of the users' platform.
+const (
+	ProtocolTickets  Protocol = "tickets"
+	ProtocolPlatform Protocol = "platform"
+)
+
 // Platform locates the services that the platform provides.
 type Platform struct {
+	Protocol Protocol
 	// StoreURLs are base URLs of the platform's key-value service.
 	StoreURLs []string
 	// HostsURL is the address of the platform's list of live and leaving hosts.
@@ -69,6 +85,15 @@
 	ShutdownTimeout time.Duration
 }
 
+// Budget bounds the requests that all daemons together send to a second
+// endpoint, in any window of ten seconds.
+type Budget struct {
+	// Share is the part of a service's requests.
+	Share float64
+	// Slack is the number beyond that.
+	Slack int
+}
+
 // Log selects the verbosity: 0 reports changes of state, 1 each request.
 type Log struct {
 	Verbosity int
--- a/pkg/settings/settings_reader.go
+++ b/pkg/settings/settings_reader.go
@@ -41,6 +41,9 @@
 	s.Listen.Caller = r.address("listen", "caller")
 	s.Listen.Operator = r.address("listen", "operator")
 	s.Listen.Peer = r.address("listen", "peer")
+	s.Listen.Ready = r.optionalAddress("listen", "ready")
+	s.Listen.Metrics = r.optionalAddress("listen", "metrics")
+	s.Platform.Protocol = Protocol(r.choice("platform", "protocol", string(ProtocolTickets), string(ProtocolPlatform)))
 	s.Platform.StoreURLs = r.urls("platform", "store")
 	s.Platform.HostsURL = r.optionalURL("platform", "hosts")
 	s.Platform.RequestTimeout = r.duration("platform", "request_timeout", 2*time.Second, 50*time.Millisecond, time.Minute)
@@ -51,6 +54,8 @@
 	s.Limits.HeaderBytes = r.integer("limits", "header_bytes", 32<<10, 1<<10, 1<<20)
 	s.Limits.Connections = r.integer("limits", "connections", 20000, 1, 1<<20)
 	s.Limits.ShutdownTimeout = r.duration("limits", "shutdown_timeout", 5*time.Minute, 0, 24*time.Hour)
+	s.Budget.Share = r.share("budget", "share", 0.2)
+	s.Budget.Slack = r.integer("budget", "slack", 50, 0, 1<<20)
 	s.Log.Verbosity = r.integer("log", "verbosity", 0, 0, 2)
 	s.Trace.Exporter = Exporter(r.choice("trace", "exporter", string(ExporterNone), string(ExporterFile), string(ExporterOTLP)))
 	s.Trace.Target = r.text("trace", "target", "")
@@ -93,6 +98,24 @@
 	return address
 }
 
+// optionalAddress returns the zero address when nothing is set.
+func (r *reader) optionalAddress(section, key string) netip.AddrPort {
+	if r.text(section, key, "") == "" {
+		return netip.AddrPort{}
+	}
+	return r.address(section, key)
+}
+
+// share reads a part from 0 to 1.
+func (r *reader) share(section, key string, fallback float64) float64 {
+	value := r.text(section, key, strconv.FormatFloat(fallback, 'g', -1, 64))
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil || number < 0 || number > 1 {
+		r.fault(section, key, value, "a number from 0 to 1")
+	}
+	return number
+}
+
 func (r *reader) list(section, key string) []string {
 	value := r.text(section, key, "")
 	if value == "" {
--- a/pkg/shard/shard.go
+++ b/pkg/shard/shard.go
@@ -24,6 +24,9 @@
 	MaxPlaces = 512
 )
 
+// AllZones stands for the availability zone of shards that span all of them.
+const AllZones = ""
+
 // Key identifies a shard within the whole system.
 type Key struct {
 	Service          string
@@ -90,6 +93,9 @@
 	sites := map[site]bool{}
 	for _, pool := range state.Pools {
 		at := site{service: pool.Service, zone: pool.AvailabilityZone}
+		if state.Services[pool.Service].AllZones {
+			at.zone = AllZones
+		}
 		sites[at] = true
 		if pool.Role == ticket.RolePrefill {
 			prefill[at] = append(prefill[at], pool.Endpoints...)
--- /dev/null
+++ b/pkg/store/mirror.go
@@ -0,0 +1,248 @@
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// pollWait is the time for which one poll waits. A connection that has gone
+	// silent holds back changes for that long at most.
+	pollWait = 2 * time.Second
+	// pollGrace is added to it for the way there and back.
+	pollGrace = 700 * time.Millisecond
+	// listTimeout bounds the reading of all entries.
+	listTimeout = 3 * time.Second
+	// firstRetryPause and maxRetryPause bound the pause after a failed call.
+	firstRetryPause = 40 * time.Millisecond
+	maxRetryPause   = 400 * time.Millisecond
+)
+
+// Mirror keeps a live copy of the entries under a prefix. An entry never goes
+// back to an older revision, whatever order the answers arrive in.
+type Mirror struct {
+	store  *Store
+	prefix string
+	now    func() time.Time
+	log    logr.Logger
+	done   chan struct{}
+	// changed is called with the present content after each change, in order.
+	changed func(Content)
+
+	mu       sync.Mutex
+	entries  map[string]Entry
+	removed  map[string]Revision
+	revision Revision
+	// contact is the time of the last answer; troubled the time of the last
+	// failure.
+	contact  time.Time
+	troubled time.Time
+	listed   bool
+}
+
+// Content is what a Mirror holds. The map must not be changed.
+type Content struct {
+	Entries  map[string]Entry
+	Revision Revision
+	// Contact is the time of the store's last answer.
+	Contact time.Time
+	// Troubled is the time of the last failed call, zero for none.
+	Troubled time.Time
+}
+
+// NewMirror returns a Mirror without entries.
+func NewMirror(s *Store, prefix string, changed func(Content), now func() time.Time, log logr.Logger) *Mirror {
+	return &Mirror{
+		store: s, prefix: prefix, now: now, log: log, changed: changed, done: make(chan struct{}),
+		entries: map[string]Entry{}, removed: map[string]Revision{},
+	}
+}
+
+// Done is closed when Serve has returned.
+func (m *Mirror) Done() <-chan struct{} {
+	return m.done
+}
+
+// Serve follows the store until ctx ends.
+func (m *Mirror) Serve(ctx context.Context) error {
+	defer close(m.done)
+	pause := firstRetryPause
+	for ctx.Err() == nil {
+		err := m.follow(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			pause = firstRetryPause
+			continue
+		}
+		m.noteTrouble(err)
+		wait := pause/2 + rand.N(pause)
+		pause = min(pause*2, maxRetryPause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return ctx.Err()
+}
+
+// follow makes one call: a listing when the changes cannot be followed, a poll
+// otherwise.
+func (m *Mirror) follow(parent context.Context) error {
+	m.mu.Lock()
+	listed, revision := m.listed, m.revision
+	m.mu.Unlock()
+	if !listed {
+		ctx, cancel := context.WithTimeout(parent, listTimeout)
+		defer cancel()
+		listing, err := m.store.List(ctx, m.prefix)
+		if err != nil {
+			return errors.Newf("list entries: %w", err)
+		}
+		m.replace(listing)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(parent, pollWait+pollGrace)
+	defer cancel()
+	changes, err := m.store.Poll(ctx, m.prefix, revision, pollWait)
+	if errors.Is(err, ErrHistoryLost) {
+		m.mu.Lock()
+		m.listed = false
+		m.mu.Unlock()
+		m.log.Info("store history was lost, entries are listed again", "revision", revision)
+		return nil
+	}
+	if err != nil {
+		return errors.Newf("poll for changes: %w", err)
+	}
+	m.apply(changes)
+	return nil
+}
+
+func (m *Mirror) noteTrouble(err error) {
+	now := m.now()
+	m.mu.Lock()
+	lost := m.troubled.IsZero() || m.contact.After(m.troubled)
+	m.troubled = now
+	contact := m.contact
+	m.mu.Unlock()
+	if lost {
+		m.log.Info("store was lost", "error", err.Error(), "last_contact_ms", age(now, contact).Milliseconds())
+	}
+}
+
+// noteContact notes an answer. The caller holds the lock.
+func (m *Mirror) noteContact() {
+	now := m.now()
+	if m.troubled.After(m.contact) {
+		m.log.Info("store was regained", "away_ms", age(now, m.contact).Milliseconds())
+	}
+	m.contact = now
+}
+
+// age returns the time since a moment, 0 when there was none.
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return now.Sub(at)
+}
+
+// replace takes a whole listing. Entries that are missing from it and were last
+// written before it are removed.
+func (m *Mirror) replace(listing Listing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteContact()
+	present := map[string]bool{}
+	for _, entry := range listing.Entries {
+		present[entry.Key] = true
+		m.put(entry)
+	}
+	for key, entry := range m.entries {
+		if !present[key] && entry.Revision <= listing.Revision {
+			m.remove(key, listing.Revision)
+		}
+	}
+	m.listed = true
+	m.revision = listing.Revision
+	m.publish()
+}
+
+func (m *Mirror) apply(changes Changes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteContact()
+	for _, event := range changes.Events {
+		if event.Deleted {
+			m.remove(event.Entry.Key, event.Entry.Revision)
+			continue
+		}
+		m.put(event.Entry)
+	}
+	m.revision = max(m.revision, changes.Revision)
+	if len(changes.Events) > 0 {
+		m.publish()
+	}
+}
+
+// Adopt takes entries that another reader of the store has. Those that are
+// older than what is known here are passed over.
+func (m *Mirror) Adopt(entries []Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	news := false
+	for _, entry := range entries {
+		news = m.put(entry) || news
+	}
+	if news {
+		m.publish()
+	}
+}
+
+// Content returns the present content.
+func (m *Mirror) Content() Content {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.content()
+}
+
+// content copies the entries. The caller holds the lock.
+func (m *Mirror) content() Content {
+	entries := make(map[string]Entry, len(m.entries))
+	for key, entry := range m.entries {
+		entries[key] = entry
+	}
+	return Content{Entries: entries, Revision: m.revision, Contact: m.contact, Troubled: m.troubled}
+}
+
+// put reports whether the entry is newer than what is known of its key.
+func (m *Mirror) put(entry Entry) bool {
+	if entry.Revision <= m.removed[entry.Key] || entry.Revision <= m.entries[entry.Key].Revision {
+		return false
+	}
+	m.entries[entry.Key] = entry
+	return true
+}
+
+func (m *Mirror) remove(key string, at Revision) {
+	if at < m.entries[key].Revision {
+		return
+	}
+	delete(m.entries, key)
+	m.removed[key] = at
+}
+
+// publish passes the content on. The caller holds the lock, so that contents
+// are passed on in order.
+func (m *Mirror) publish() {
+	if m.changed != nil {
+		m.changed(m.content())
+	}
+}
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -83,12 +83,24 @@
 	RetryShare float64 `json:"retry_share"`
 	// IdempotentPaths are path prefixes whose calls may be repeated with any method.
 	IdempotentPaths []string `json:"idempotent_paths,omitempty"`
+	// PieceTokens is the size of a piece of decode memory, 0 for PieceTokens.
+	PieceTokens int `json:"piece_tokens,omitempty"`
+	// FirstStep is the time from the end of a prefill to the first token, when it
+	// is far from the token gap's target.
+	FirstStep Duration `json:"first_step,omitempty"`
+	// AllZones makes one owner dispatch the endpoints of all availability zones.
+	AllZones bool `json:"all_zones,omitempty"`
+	// DecodeReadsPrompts is true when decode endpoints also serve a request
+	// whose prompt no prefill endpoint has computed.
+	DecodeReadsPrompts bool `json:"decode_reads_prompts,omitempty"`
 }
 
 // Endpoint is one model engine or plain server.
 type Endpoint struct {
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
+	// AvailabilityZone is set where a shard spans several.
+	AvailabilityZone string `json:"availability_zone,omitempty"`
 	// Places is the number of requests that the endpoint runs at once.
 	Places int `json:"places"`
 	// Pieces is the decode memory in pieces of about 4,096 tokens.
