Stop the watch for the first event once the stream has begun

Cause: the timer that ends a sending without a first event went on running, so each resumable stream was cut 1.6 s after its decode call.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -129,9 +129,9 @@
 	c.close()
 	<-e.written
 	if ctx.Err() != nil {
-		return nil, errors.Newf("await response: %w: %w", ErrBroken, context.Cause(ctx))
+		return nil, errors.Newf("await response: %w", errors.Mark(context.Cause(ctx), ErrBroken))
 	}
-	return nil, errors.Newf("await response: %w: %w", ErrBroken, err)
+	return nil, errors.Newf("await response: %w", errors.Mark(err, ErrBroken))
 }
 
 // take returns a sound kept connection or a new one.
@@ -157,7 +157,7 @@
 	socket, err := dial(ctx, address)
 	if err != nil {
 		p.release(address)
-		return nil, errors.Newf("open connection: %w: %w", ErrNotSent, err)
+		return nil, errors.Newf("open connection: %w", errors.Mark(err, ErrNotSent))
 	}
 	p.mu.Lock()
 	p.opened++
@@ -294,7 +294,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, errors.Newf("read response body: %w: %w", ErrBroken, err)
+		return n, errors.Newf("read response body: %w", errors.Mark(err, ErrBroken))
 	}
 	return n, nil
 }
--- a/pkg/dispatch/alone.go
+++ b/pkg/dispatch/alone.go
@@ -45,6 +45,11 @@
 	return r
 }
 
+// IsAlone reports whether no owner granted the reservation.
+func (r *Reservation) IsAlone() bool {
+	return r.alone != nil
+}
+
 // advanceAlone tells the front's own Planner of a stage. The caller holds the lock.
 func (r *Reservation) advanceAlone(stage Stage) {
 	now := r.client.config.Now()
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -37,6 +37,11 @@
 		}
 		r := decision.Refusal
 		d.counts.Refusals++
+		load := o.planner.Load(d.config.Now())
+		d.config.Log.Info("offer is refused", "request", r.ID.String(), "front", r.Front, "cause", r.Cause,
+			"retry_after_ms", r.RetryAfter.Milliseconds(), "queued", load.Queued, "held", load.Held, "open_decode", load.OpenDecode,
+			"open_prefill", load.OpenPrefill, "decode_used", load.DecodeUsed, "decode_limit", load.DecodeLimit,
+			"pieces_used", load.PiecesUsed, "pieces_limit", load.PiecesLimit)
 		d.publish(r.Front, kindRefusal, noShard, wireRefusal{ID: r.ID, Cause: r.Cause, RetryAfterMilliseconds: r.RetryAfter.Milliseconds()})
 	}
 }
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -211,7 +211,7 @@
 		marked := d.markLeaving(o.shard)
 		result = append(result, Summary{
 			Key: o.shard.Key, Owned: o.standInUntil.IsZero(), Rebuilding: o.isRebuilding(now),
-			Load: o.planner.Load(), Prefill: marked.Prefill, Decode: marked.Decode,
+			Load: o.planner.Load(now), Prefill: marked.Prefill, Decode: marked.Decode,
 		})
 	}
 	return result
--- a/pkg/dispatch/planner_fuzz_test.go
+++ b/pkg/dispatch/planner_fuzz_test.go
@@ -103,7 +103,7 @@
 
 // check compares the planner's account with the oracle's.
 func (o *oracle) check() {
-	load := o.planner.Load()
+	load := o.planner.Load(epoch)
 	require.Equal(o.t, len(o.waiting), load.Queued)
 	require.Equal(o.t, len(o.granted), load.Held)
 	places, pieces := map[string]int{}, map[string]int{}
--- a/pkg/dispatch/planner_report.go
+++ b/pkg/dispatch/planner_report.go
@@ -34,15 +34,26 @@
 	DecodeLimit int
 	PiecesUsed  int
 	PiecesLimit int
+	// OpenDecode and OpenPrefill count the endpoints that take work now.
+	OpenDecode  int
+	OpenPrefill int
 }
 
 // Load returns the present summary.
-func (p *Planner) Load() Load {
+func (p *Planner) Load(now time.Time) Load {
 	load := Load{Queued: len(p.queues.queued), Held: len(p.holds), DecodeLimit: p.decodeLimit()}
 	for _, e := range p.decode {
 		load.DecodeUsed += e.used
 		load.PiecesUsed += e.pieces
 		load.PiecesLimit += e.endpoint.Pieces
+		if e.isOpen(now) {
+			load.OpenDecode++
+		}
+	}
+	for _, e := range p.prefill {
+		if e.isOpen(now) {
+			load.OpenPrefill++
+		}
 	}
 	return load
 }
--- a/pkg/dispatch/planner_test.go
+++ b/pkg/dispatch/planner_test.go
@@ -87,7 +87,7 @@
 func TestDecisionAllocations(t *testing.T) {
 	planner, last := loadedPlanner()
 	held := initialHolds(planner, last)
-	require.Equal(t, 1000, planner.Load().Queued)
+	require.Equal(t, 1000, planner.Load(epoch).Queued)
 	buffer := make([]dispatch.Decision, 0, 8)
 	next := last
 	requests := make([]dispatch.Request, 0, 300)
@@ -133,7 +133,7 @@
 	planner.Prefilled(epoch, 1, nil)
 	planner.Done(epoch, 1, dispatch.Outcome{}, nil)
 	planner.Done(epoch, 1, dispatch.Outcome{}, nil)
-	require.Equal(t, 0, planner.Load().DecodeUsed)
+	require.Equal(t, 0, planner.Load(epoch).DecodeUsed)
 }
 
 func TestSuspectsNeverShareAnEndpoint(t *testing.T) {
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -118,8 +118,12 @@
 	if err != nil {
 		return err
 	}
+	r.config.Log.Info("places are granted", "request_id", j.call.ID, "request", request.ID.String(), "prefill", reservation.Prefill.Name,
+		"decode", reservation.Decode.Name, "waited_ms", reservation.GrantedAt.Sub(now).Milliseconds(), "alone", reservation.IsAlone())
 	outcome, err := m.drive(ctx, reservation, request.Suspect)
 	reservation.Done(outcome)
+	r.config.Log.Info("places are given back", "request_id", j.call.ID, "failed_endpoint", outcome.FailedEndpoint, "busy", outcome.Busy,
+		"events", m.stream.events, "max_gap_ms", m.stream.maxGap.Milliseconds())
 	m.exclude = outcome.FailedEndpoint
 	return err
 }
@@ -234,14 +238,15 @@
 	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	watch := time.NewTimer(0)
 	if j.route.Resumable {
-		watch := time.AfterFunc(firstSilence+j.route.Target/2, silence(cancel))
-		defer watch.Stop()
+		watch = time.AfterFunc(firstSilence+j.route.Target/2, silence(cancel))
 	}
 	j.sends++
 	j.endpoint = endpoint.Name
 	order := Order{Source: m.handle, LastEvent: m.stream.last, Urgency: urgency, Left: j.until.Sub(r.config.Now())}
 	reply, err := r.config.Endpoints.Send(sending, endpoint, j.call, order)
+	watch.Stop()
 	if err != nil {
 		if !errors.Is(err, connection.ErrNotSent) {
 			m.handle = Handle{}
@@ -271,7 +276,7 @@
 		return outcome, err
 	}
 	if cause := context.Cause(sending); errors.Is(cause, errSilent) {
-		err = errors.Newf("%w: %w", cause, err)
+		err = errors.Newf("after a silence: %w", errors.Mark(err, errSilent))
 	} else {
 		m.noteCrash(ctx, endpoint, suspect)
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -253,7 +253,7 @@
 	case err == nil:
 		return nil
 	case j.answer.Started():
-		return errors.Newf("%w: %w", ErrAnswerBroken, err)
+		return errors.Newf("complete answer: %w", errors.Mark(err, ErrAnswerBroken))
 	case errors.As(err, &fault) && (fault.Cause.notRun() && !j.mayHaveRun):
 		return fault
 	case errors.Is(context.Cause(ctx), errTimeout) && j.mayHaveRun:
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -31,8 +31,10 @@
 	// last is the number of the last event that was passed on.
 	last   int64
 	events int
-	// lastAt is the time at which it was passed on.
+	// lastAt is the time at which it was passed on, maxGap the longest pause
+	// before one.
 	lastAt time.Time
+	maxGap time.Duration
 }
 
 // relay passes the events of one reply on until the stream is complete. silent
@@ -50,7 +52,7 @@
 			return s.complete(reply)
 		}
 		if err != nil {
-			return errors.Newf("read event: %w: %w", connection.ErrBroken, err)
+			return errors.Newf("read event: %w", errors.Mark(err, connection.ErrBroken))
 		}
 		if watch != nil {
 			watch.Reset(gapSilence)
@@ -67,21 +69,24 @@
 		return nil
 	}
 	if e.hasID && s.events > 0 && s.last != NoEvent && e.id > s.last+1 && !s.follows(e) {
-		return errors.Newf("event %d after %d: %w: %w", e.id, s.last, errEventOrder, connection.ErrBroken)
+		return errors.Newf("event %d after %d: %w", e.id, s.last, errors.Mark(errEventOrder, connection.ErrBroken))
 	}
 	answer := s.job.answer
 	if !answer.Started() {
 		answer.start(reply.Status, reply.Header)
 	}
 	if err := answer.write(e.raw); err != nil {
-		return errors.Newf("pass event on: %w: %w", errCallerWrite, err)
+		return errors.Newf("pass event on: %w", errors.Mark(err, errCallerWrite))
 	}
 	if err := answer.push(); err != nil {
-		return errors.Newf("pass event on: %w: %w", errCallerWrite, err)
+		return errors.Newf("pass event on: %w", errors.Mark(err, errCallerWrite))
 	}
 	if e.hasID {
 		s.last = e.id
 	}
+	if s.events > 0 {
+		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
+	}
 	s.events++
 	s.lastAt = now
 	return nil
