Admit by the predicted peak of decode memory

Cause: each request reserved its output limit, 7,930 tokens, though the mean output is 4,300 and memory is taken token by token: 39 requests filled five engines while half of the memory was idle. Change: the Planner predicts the peak of an engine's memory from what each request has taken and is expected to add (its rank's mean and the caller's guess); throughput counts the mean footprint.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -25,6 +25,8 @@
 	MemoryTokens int
 	// BytesPerToken sizes the transfer of a KV cache.
 	BytesPerToken int
+	// TokensPerEvent is the number of tokens in one event of a stream.
+	TokensPerEvent int
 	// LinkBytesPerSecond is the rate of an engine's transfer link.
 	LinkBytesPerSecond float64
 	// HandleTime is the time for which an exported KV cache is kept.
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -68,10 +68,11 @@
 	result := ticket.Service{
 		Name: service.Name, Kind: ticket.KindModel,
 		KVBytesPerToken: service.Engine.BytesPerToken, PieceTokens: pieceTokens,
-		AllZones: true, DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep),
+		AllZones: true, MemoryGrows: true, DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep),
 	}
 	for i, priority := range Priorities(state, service.Name) {
 		target, gap := targetsOf(state, service.Name, priority)
+		gap /= time.Duration(max(service.Engine.TokensPerEvent, 1))
 		rank := ticket.Rank{FirstTokenTarget: ticket.Duration(target), TokenGapTarget: ticket.Duration(gap)}
 		if i > 0 {
 			rank.FloorShare = floorShare
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -41,6 +41,8 @@
 	PromptTokens int
 	// OutputTokens is the limit on tokens to generate.
 	OutputTokens int
+	// ExpectedTokens is the caller's guess at the output, 0 for none.
+	ExpectedTokens int
 	// Prefixes are the hashes of the prompt's leading parts with the lengths of
 	// PrefixTokens, as many as the prompt is long enough for.
 	Prefixes []PrefixHash
--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -134,6 +134,8 @@
 	// used and pieces are the places and memory pieces that are reserved.
 	used   int
 	pieces int
+	// holds are the requests that have the places.
+	holds map[RequestID]*hold
 	// limit is the number of places in use at most. It is below the configured
 	// number while the measured token gap is over target.
 	limit     float64
@@ -149,7 +151,7 @@
 }
 
 func newDecodeEndpoint(endpoint ticket.Endpoint, link *linkState) *decodeEndpoint {
-	return &decodeEndpoint{endpoint: endpoint, limit: float64(endpoint.Places), link: link, present: true}
+	return &decodeEndpoint{endpoint: endpoint, limit: float64(endpoint.Places), link: link, present: true, holds: map[RequestID]*hold{}}
 }
 
 func (e *decodeEndpoint) places() int {
--- a/pkg/dispatch/estimate.go
+++ b/pkg/dispatch/estimate.go
@@ -56,7 +56,7 @@
 	if p.holdTime.samples == 0 {
 		return math.Inf(1)
 	}
-	decode := float64(p.decodeLimit()) / p.holdTime.value
+	decode := p.decodeConcurrency() / p.holdTime.value
 	if p.prefillRate() == 0 || p.promptWork.samples == 0 {
 		return decode
 	}
--- /dev/null
+++ b/pkg/dispatch/memory.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Decode memory that grows with the output.
+//
+// An engine takes memory for a prompt at once and for the output token by token.
+// Reserving every request's limit would leave most of the memory idle, and
+// counting only what is taken now would fill it until running requests are
+// preempted. The Planner therefore admits by the predicted peak: all requests of
+// an engine advance together, one token a step, so the memory in use rises until
+// one of them ends and gives back all of its own. The load pattern it answers is
+// a burst of requests whose limits are far above their outputs.
+
+const (
+	// memoryShare is the part of an engine's memory that predicted peaks may fill;
+	// the rest takes up outputs that are longer than predicted.
+	memoryShare = 0.95
+	// hintWeight is the weight of a caller's guess at its output against the mean
+	// of its rank, on a logarithmic scale: guesses are as far off as outputs are
+	// spread.
+	hintWeight = 0.5
+	// overrunShare is what is left of an output that is past its prediction, as a
+	// part of the prediction.
+	overrunShare = 0.25
+)
+
+// demand is the memory of one request: what it has now, and how many tokens it
+// is still expected to add.
+type demand struct {
+	taken float64
+	left  float64
+}
+
+// peak returns the largest memory that the demands take at any time, when all
+// advance by one token a step. It reorders them.
+func peak(demands []demand) float64 {
+	slices.SortFunc(demands, func(a, b demand) int {
+		switch {
+		case a.left > b.left:
+			return -1
+		case a.left < b.left:
+			return 1
+		}
+		return 0
+	})
+	highest, taken := 0.0, 0.0
+	for i, d := range demands {
+		taken += d.taken
+		highest = max(highest, taken+float64(i+1)*d.left)
+	}
+	return highest
+}
+
+// expectedOutput returns the predicted output tokens of a request.
+func (p *Planner) expectedOutput(r Request) float64 {
+	limit := float64(r.OutputTokens)
+	mean := min(p.queues.ranks[r.Rank].output.or(limit*typicalOutput), limit)
+	if r.ExpectedTokens <= 0 || mean <= 0 {
+		return mean
+	}
+	hint := min(float64(r.ExpectedTokens), limit)
+	return math.Exp(hintWeight*math.Log(hint) + (1-hintWeight)*math.Log(mean))
+}
+
+// typicalOutput is the part of its limit that an output takes while none has
+// been measured.
+const typicalOutput = 0.6
+
+// tokenTime returns the time for one output token, measured or at its target.
+func (p *Planner) tokenTime(e *decodeEndpoint) float64 {
+	return e.gap.or(p.queues.ranks[0].targets.gap.Seconds())
+}
+
+// demandOf returns the memory demand of a granted request.
+func (p *Planner) demandOf(now time.Time, h *hold) demand {
+	expected := p.expectedOutput(h.request)
+	made := 0.0
+	if h.stage == StageDecode {
+		made = now.Sub(h.decodeAt).Seconds() / p.tokenTime(h.decode)
+	}
+	made = min(made, float64(h.request.OutputTokens))
+	left := max(expected-made, overrunShare*expected)
+	left = min(left, float64(h.request.OutputTokens)-made)
+	return demand{taken: float64(h.request.PromptTokens) + made, left: left}
+}
+
+// memoryLoad returns the predicted peak of an endpoint with one more request, as
+// a part of what may be filled.
+func (p *Planner) memoryLoad(now time.Time, e *decodeEndpoint, r Request) float64 {
+	p.demands = append(p.demands[:0], demand{taken: float64(r.PromptTokens), left: p.expectedOutput(r)})
+	for _, h := range e.holds {
+		p.demands = append(p.demands, p.demandOf(now, h))
+	}
+	return peak(p.demands) / (float64(e.endpoint.Pieces*p.service.PieceTokens) * memoryShare)
+}
+
+// fits reports whether an endpoint has memory for one more request.
+func (p *Planner) fits(now time.Time, e *decodeEndpoint, r Request) bool {
+	if !p.service.MemoryGrows {
+		return e.fits(memoryPieces(p.service, r))
+	}
+	return e.endpoint.Pieces == 0 || len(e.holds) == 0 || p.memoryLoad(now, e, r) <= 1
+}
+
+// freeShare returns how much of an endpoint is free for a request, from 0 to 1.
+func (p *Planner) freeShare(now time.Time, e *decodeEndpoint, r Request) float64 {
+	share := float64(e.free()) / float64(e.endpoint.Places)
+	if p.service.MemoryGrows && e.endpoint.Pieces > 0 {
+		share = min(share, 1-p.memoryLoad(now, e, r))
+	}
+	return share
+}
+
+// concurrency returns the requests that an endpoint runs at once when it is
+// full, by its places and by the memory of the mean request.
+func (p *Planner) concurrency(e *decodeEndpoint) float64 {
+	places := float64(e.places())
+	if !p.service.MemoryGrows || e.endpoint.Pieces == 0 || p.footprint.samples == 0 {
+		return places
+	}
+	return min(places, float64(e.endpoint.Pieces*p.service.PieceTokens)*memoryShare/max(p.footprint.value, 1))
+}
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -131,15 +131,14 @@
 // chooseDecode returns the open endpoint with the largest free part of its
 // places that has the memory, or nil.
 func (p *Planner) chooseDecode(now time.Time, w *waiting) *decodeEndpoint {
-	pieces := memoryPieces(p.service, w.request)
 	var best *decodeEndpoint
 	bestShare := 0.0
 	for _, e := range p.decode {
 		barred := (e.savedFor != nil && e.savedFor != w) || (w.request.Suspect && e.suspects > 0)
-		if barred || e.free() <= 0 || !e.isOpen(now) || !e.fits(pieces) || e.endpoint.Name == w.request.Exclude {
+		if barred || e.free() <= 0 || !e.isOpen(now) || !p.fits(now, e, w.request) || e.endpoint.Name == w.request.Exclude {
 			continue
 		}
-		share := float64(e.free()) / float64(e.endpoint.Places)
+		share := p.freeShare(now, e, w.request)
 		if best == nil || share > bestShare {
 			best, bestShare = e, share
 		}
@@ -210,7 +209,7 @@
 	}
 	var best *decodeEndpoint
 	for _, e := range p.decode {
-		if e.savedFor == w || (e.isOpen(now) && e.savedFor == nil && e.fits(pieces)) {
+		if e.savedFor == w || (e.isOpen(now) && e.savedFor == nil && p.fits(now, e, w.request)) {
 			return
 		}
 		if !e.isOpen(now) || e.savedFor != nil || pieces > e.endpoint.Pieces {
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -40,7 +40,11 @@
 	freeDecode int
 	holdTime   mean
 	promptWork mean
-	blocked    []*callerQueue
+	// footprint is the mean memory of a request over the time for which it runs.
+	footprint mean
+	// demands is reused between predictions.
+	demands []demand
+	blocked []*callerQueue
 }
 
 // NewPlanner returns a Planner without endpoints. Its grants carry fencing
@@ -155,6 +159,18 @@
 	return total
 }
 
+// decodeConcurrency returns the requests that all decode endpoints run at once
+// when they are full.
+func (p *Planner) decodeConcurrency() float64 {
+	total := 0.0
+	for _, e := range p.decode {
+		if e.isUsable() {
+			total += p.concurrency(e)
+		}
+	}
+	return total
+}
+
 // prefillRate returns the prompt tokens a second of all prefill endpoints.
 func (p *Planner) prefillRate() float64 {
 	total := 0.0
@@ -227,6 +243,7 @@
 func (p *Planner) reserve(now time.Time, h *hold) {
 	h.decode.used++
 	h.decode.pieces += h.pieces
+	h.decode.holds[h.request.ID] = h
 	h.decode.suspects += suspicion(h.request)
 	p.holds[h.request.ID] = h
 	if h.prefill == nil || h.stage == StageDecode {
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -184,6 +184,7 @@
 	}
 	h.decode.used--
 	h.decode.pieces -= h.pieces
+	delete(h.decode.holds, id)
 	h.decode.suspects -= suspicion(h.request)
 	p.measureOutcome(now, h, outcome)
 	p.dropAbsent()
@@ -210,6 +211,7 @@
 	}
 	rank := p.queues.ranks[h.request.Rank]
 	rank.output.add(float64(outcome.OutputTokens))
+	p.footprint.add(float64(h.request.PromptTokens) + float64(outcome.OutputTokens)/2)
 	rank.slack.add((rank.targets.firstToken - p.leastTime(h.request)).Seconds())
 	actual := h.prefillTokens + outputTokenWork*float64(outcome.OutputTokens)
 	rank.fair.correct(h.request.Caller, actual-h.work)
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -76,8 +76,16 @@
 	Prefixes     []PrefixHash
 	// AgeMilliseconds is the time since arrival, so that clocks need not agree.
 	AgeMilliseconds int64
-	Exclude         string
 	Flags           requestFlags
+	// Rare is nil when all of it is zero.
+	Rare *wireRare
+}
+
+// wireRare is what few requests have.
+type wireRare struct {
+	_              struct{} `cbor:",toarray"`
+	Exclude        string
+	ExpectedTokens int
 }
 
 // requestFlags are the properties of a request that it has or has not.
@@ -148,11 +156,19 @@
 	return wireRequest{
 		ID: r.ID, Caller: r.Caller, Rank: r.Rank,
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		AgeMilliseconds: now.Sub(r.Arrival).Milliseconds(), Exclude: r.Exclude, Flags: flagsOf(r),
-		Prefixes: r.Prefixes,
+		AgeMilliseconds: now.Sub(r.Arrival).Milliseconds(), Flags: flagsOf(r),
+		Prefixes: r.Prefixes, Rare: rareOf(r),
 	}
 }
 
+func rareOf(r Request) *wireRare {
+	rare := wireRare{Exclude: r.Exclude, ExpectedTokens: r.ExpectedTokens}
+	if rare == (wireRare{}) {
+		return nil
+	}
+	return &rare
+}
+
 // maxPromptTokens bounds what a peer may claim of a request.
 const maxPromptTokens = 1 << 24
 
@@ -162,10 +178,13 @@
 		PromptTokens: min(max(w.PromptTokens, 0), maxPromptTokens),
 		OutputTokens: min(max(w.OutputTokens, 0), maxPromptTokens),
 		Arrival:      now.Add(-time.Duration(max(w.AgeMilliseconds, 0)) * time.Millisecond),
-		Exclude:      w.Exclude,
 		Suspect:      w.Flags&flagSuspect != 0,
 		DecodeOnly:   w.Flags&flagDecodeOnly != 0,
 	}
+	if w.Rare != nil {
+		r.Exclude = w.Rare.Exclude
+		r.ExpectedTokens = min(max(w.Rare.ExpectedTokens, 0), maxPromptTokens)
+	}
 	r.Prefixes = w.Prefixes[:min(len(w.Prefixes), len(PrefixTokens))]
 	return r
 }
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -106,7 +106,7 @@
 	}
 	request := dispatch.Request{
 		ID: r.config.Client.NewRequestID(), Front: r.config.Host, Caller: j.call.Caller, Rank: m.rank,
-		PromptTokens: j.call.PromptTokens, OutputTokens: j.call.OutputTokens, Prefixes: j.call.Prefixes,
+		PromptTokens: j.call.PromptTokens, OutputTokens: j.call.OutputTokens, ExpectedTokens: j.call.ExpectedTokens, Prefixes: j.call.Prefixes,
 		Arrival: j.call.Arrival, Exclude: m.exclude, Suspect: verdict == poison.VerdictSuspect,
 		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone,
 	}
@@ -119,7 +119,8 @@
 		return err
 	}
 	r.config.Log.Info("places are granted", "request_id", j.call.ID, "request", request.ID.String(), "prefill", reservation.Prefill.Name,
-		"decode", reservation.Decode.Name, "waited_ms", reservation.GrantedAt.Sub(now).Milliseconds(), "alone", reservation.IsAlone())
+		"decode", reservation.Decode.Name, "waited_ms", reservation.GrantedAt.Sub(now).Milliseconds(), "alone", reservation.IsAlone(),
+		"prompt_tokens", j.call.PromptTokens, "output_tokens", j.call.OutputTokens, "expected_tokens", j.call.ExpectedTokens)
 	outcome, err := m.drive(ctx, reservation, request.Suspect)
 	reservation.Done(outcome)
 	r.config.Log.Info("places are given back", "request_id", j.call.ID, "failed_endpoint", outcome.FailedEndpoint, "busy", outcome.Busy,
@@ -271,7 +272,7 @@
 		return failed, j.answer.pass(reply)
 	}
 	err = m.stream.relay(reply, r.config.Now, silence(cancel))
-	outcome := dispatch.Outcome{OutputTokens: m.stream.events}
+	outcome := dispatch.Outcome{OutputTokens: m.stream.events * max(j.service.Engine.TokensPerEvent, 1)}
 	if err == nil || errors.Is(err, errCallerWrite) || ctx.Err() != nil {
 		return outcome, err
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -54,7 +54,9 @@
 	// the output. Both are zero for plain requests.
 	PromptTokens int
 	OutputTokens int
-	Prefixes     []dispatch.PrefixHash
+	// ExpectedTokens is the caller's guess at the output, 0 for none.
+	ExpectedTokens int
+	Prefixes       []dispatch.PrefixHash
 	// LastEvent is the last event that the caller has of an earlier answer, or
 	// NoEvent.
 	LastEvent int64
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -85,6 +85,9 @@
 	IdempotentPaths []string `json:"idempotent_paths,omitempty"`
 	// PieceTokens is the size of a piece of decode memory, 0 for PieceTokens.
 	PieceTokens int `json:"piece_tokens,omitempty"`
+	// MemoryGrows is true when engines take memory for output as it is made, and
+	// not when a request begins.
+	MemoryGrows bool `json:"memory_grows,omitempty"`
 	// FirstStep is the time from the end of a prefill to the first token, when it
 	// is far from the token gap's target.
 	FirstStep Duration `json:"first_step,omitempty"`
