--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -417,8 +417,12 @@
 		return
 	}
 	kind := kindDone
-	if outcome.Busy {
+	switch {
+	case outcome.Busy:
 		kind = kindBusy
+	case outcome.LostCache != "":
+		kind = kindLostCache
+		outcome.FailedEndpoint = outcome.LostCache
 	}
 	c.publish(context.Background(), owner, kind, noShard, wireDone{
 		ID: id, OutputTokens: outcome.OutputTokens, FailedEndpoint: outcome.FailedEndpoint,
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -122,6 +122,9 @@
 	OutputTokens int
 	// FailedEndpoint names the endpoint that failed, if one did.
 	FailedEndpoint string
+	// LostCache names the prefill endpoint whose KV cache was gone before it could
+	// be fetched, if one was.
+	LostCache string
 	// Busy is true when the endpoint refused the request because it was full.
 	Busy bool
 }
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -62,8 +62,8 @@
 	case kindStarted:
 		d.handleStage(now, envelope.Body, (*Planner).Started)
 		return nil
-	case kindDone, kindBusy:
-		d.handleDone(now, envelope.Body, envelope.Kind == kindBusy)
+	case kindDone, kindBusy, kindLostCache:
+		d.handleDone(now, envelope.Body, envelope.Kind)
 		return nil
 	}
 	if _, ok := d.all[envelope.Shard]; !ok {
@@ -144,7 +144,7 @@
 	}
 }
 
-func (d *Dispatcher) handleDone(now time.Time, body []byte, busy bool) {
+func (d *Dispatcher) handleDone(now time.Time, body []byte, kind wireKind) {
 	var wire wireDone
 	if err := link.Decode(body, &wire); err != nil {
 		return
@@ -154,7 +154,10 @@
 		return
 	}
 	o.dropOffer(wire.ID)
-	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: busy}
+	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: kind == kindBusy}
+	if kind == kindLostCache {
+		outcome.FailedEndpoint, outcome.LostCache = "", wire.FailedEndpoint
+	}
 	d.send(o, o.planner.Done(now, wire.ID, outcome, d.decisions[:0]))
 }
 
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -223,6 +223,9 @@
 }
 
 func (p *Planner) markFailure(now time.Time, h *hold, outcome Outcome) {
+	if h.prefill != nil && outcome.LostCache == h.prefill.endpoint.Name {
+		h.prefill.health.fail(now)
+	}
 	if outcome.FailedEndpoint == "" {
 		return
 	}
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -56,6 +56,7 @@
 	kindReport
 	kindAudit
 	kindQueued
+	kindLostCache
 )
 
 // wireMessage is the envelope of all messages.
@@ -107,8 +108,8 @@
 	return flags
 }
 
-// wireDone is the body of kindDone, and of kindBusy when the failed endpoint was
-// full. The body of kindPrefilled, kindStarted and kindQueued is a RequestID.
+// wireDone is the body of kindDone, of kindBusy when the failed endpoint was full,
+// and of kindLostCache when it lost the KV cache. The body of kindPrefilled, kindStarted and kindQueued is a RequestID.
 type wireDone struct {
 	_              struct{} `cbor:",toarray"`
 	ID             RequestID
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -31,6 +31,9 @@
 	grantAge = time.Second
 )
 
+// errNoBudget reports that the retry budget allows no further sending.
+var errNoBudget = errors.New("the budget allows no further sending")
+
 // errNotRun reports that an endpoint refused a call and did not run it.
 var errNotRun = errors.New("endpoint did not run the call")
 
@@ -78,7 +81,7 @@
 		failure = err
 		r.config.Log.Info("attempt has failed", "request_id", j.call.ID, "endpoint", j.endpoint, "error", err.Error(),
 			"sends", j.sends, "runs", j.runs, "last_event", m.stream.last, "age_ms", r.config.Now().Sub(j.call.Arrival).Milliseconds())
-		if ctx.Err() != nil || errors.Is(err, errCallerWrite) || !m.mayRepeat(err) || !r.sendAgain(j) {
+		if ctx.Err() != nil || errors.Is(err, errCallerWrite) || !m.mayRepeat(err) {
 			return err
 		}
 	}
@@ -180,7 +183,26 @@
 			return outcome, err
 		}
 	}
-	return m.decode(ctx, reservation, urgency, suspect)
+	source := m.handle
+	outcome, err := m.decode(ctx, reservation, urgency, suspect)
+	if source.ID == "" || !errors.Is(err, errNotRun) || !outcome.Busy {
+		return outcome, err
+	}
+	// The endpoint is full, or it could not fetch the KV cache. It has a place by
+	// the dispatcher's account, so it is asked to compute the prompt itself.
+	m.free()
+	r.config.Log.Info("decode is tried without the KV cache", "request_id", m.job.call.ID, "endpoint", reservation.Decode.Name,
+		"prefill", reservation.Prefill.Name, "cache_age_ms", m.cacheAge(r.config.Now()).Milliseconds())
+	outcome, err = m.decode(ctx, reservation, urgency, suspect)
+	if err == nil || !errors.Is(err, errNotRun) {
+		outcome.LostCache = reservation.Prefill.Name
+	}
+	return outcome, err
+}
+
+// cacheAge returns the time since the last prefill.
+func (m *modelRun) cacheAge(now time.Time) time.Duration {
+	return now.Sub(m.handleUntil.Add(handleMargin - m.job.service.Engine.HandleTime))
 }
 
 // endpointOf returns the endpoint of a grant if it still takes new work.
@@ -204,6 +226,11 @@
 	limit := prefillGrace + time.Duration(j.call.PromptTokens/leastPrefillRate)*time.Millisecond
 	limited, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
 	defer cancel()
+	if j.prefills > 0 || j.arrivals > 0 {
+		if !r.mayArrive(j) {
+			return dispatch.Outcome{}, errNoBudget
+		}
+	}
 	j.sends++
 	j.endpoint = endpoint.Name
 	handle, reply, err := r.config.Endpoints.Prefill(limited, endpoint, j.call, Order{
@@ -212,11 +239,13 @@
 	if reply != nil {
 		_ = reply.Body.Close()
 		failed.Busy = reply.NotRun && !reply.Misdirected
+		j.arrivals = max(j.arrivals, 1)
 		return failed, errors.Newf("prefill was answered with %d: %w", reply.Status, errNotRun)
 	}
 	if err != nil {
 		if !errors.Is(err, connection.ErrNotSent) {
 			j.prefills++
+			j.arrivals = max(j.arrivals, 1)
 		}
 		return failed, errors.Newf("prefill: %w", err)
 	}
@@ -239,6 +268,9 @@
 	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if !r.mayArrive(j) {
+		return dispatch.Outcome{}, errNoBudget
+	}
 	watch := time.NewTimer(0)
 	if j.route.Resumable {
 		watch = time.AfterFunc(firstSilence+j.route.Target/2, silence(cancel))
@@ -259,10 +291,6 @@
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
 		failed.Busy = reply.NotRun && !reply.Misdirected
-		if m.handle.ID != "" && reply.Misdirected {
-			return failed, errors.Newf("another endpoint has the address: %w", errNotRun)
-		}
-		m.free()
 		return failed, errors.Newf("decode was refused with %d: %w", reply.Status, errNotRun)
 	}
 	m.handle = Handle{}
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -79,7 +79,8 @@
 	if !ok {
 		return &Fault{Cause: CauseNoEndpoint, RetryAfter: refusalRetryAfter}
 	}
-	if j.sends > 0 && !r.sendAgain(j) {
+	if !r.mayArrive(j) {
+		r.judge(now, endpoint.Name, balance.Cancelled, 0)
 		return &Fault{Cause: CauseFull, RetryAfter: refusalRetryAfter}
 	}
 	p.tried[endpoint.Name] = true
@@ -136,9 +137,14 @@
 		outcome = balance.Failed
 	}
 	now := r.config.Now()
+	r.judge(now, s.endpoint.Name, outcome, now.Sub(s.at))
+}
+
+// judge tells the balancer that a request has ended.
+func (r *Relay) judge(now time.Time, endpoint string, outcome balance.Outcome, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.Ended(now, s.endpoint.Name, outcome, now.Sub(s.at))
+	r.balancer.Ended(now, endpoint, outcome, took)
 }
 
 // await waits for an answer to pass on.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -201,9 +201,21 @@
 	runs     int
 	prefills int
 	sends    int
+	// arrivals counts the sendings that the retry budget knows of: all but the
+	// first prefill, if that was accepted. The first of them is free.
+	arrivals int
 	endpoint string
 }
 
+// mayArrive takes one more arrival at an endpoint from the budget.
+func (r *Relay) mayArrive(j *job) bool {
+	if j.arrivals > 0 && !r.sendAgain(j) {
+		return false
+	}
+	j.arrivals++
+	return true
+}
+
 // Serve answers a call. The error is a *Fault when nothing was answered, and
 // ErrAnswerBroken when an answer that had begun cannot be completed.
 func (r *Relay) Serve(ctx context.Context, call *Call, answer *Answer) error {
@@ -272,14 +284,18 @@
 	return &Fault{Cause: CauseNoEndpoint, RetryAfter: refusalRetryAfter}
 }
 
+// budgetMargin is the part of the budget that is used, since daemons that were
+// started again begin with a full share of it.
+const budgetMargin = 0.75
+
 // budget returns the retry budget of a service.
 func (r *Relay) budget(service string) *retry.Budget {
-	share := float64(r.config.Budget.Slack) / float64(max(r.config.Daemons(), 1))
+	share := budgetMargin * float64(r.config.Budget.Slack) / float64(max(r.config.Daemons(), 1))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b, ok := r.budgets[service]
 	if !ok {
-		b = retry.NewBudget(r.config.Budget.Share)
+		b = retry.NewBudget(budgetMargin * r.config.Budget.Share)
 		r.budgets[service] = b
 	}
 	b.SetBurst(share)
