--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -123,6 +123,8 @@
 	request Request
 	shard   routedShard
 	stage   Stage
+	// startedAt is the time of the first token.
+	startedAt time.Time
 	// alone is the Planner that granted it when no owner did.
 	alone *Planner
 }
@@ -417,12 +419,8 @@
 		return
 	}
 	kind := kindDone
-	switch {
-	case outcome.Busy:
+	if outcome.Busy {
 		kind = kindBusy
-	case outcome.LostCache != "":
-		kind = kindLostCache
-		outcome.FailedEndpoint = outcome.LostCache
 	}
 	c.publish(context.Background(), owner, kind, noShard, wireDone{
 		ID: id, OutputTokens: outcome.OutputTokens, FailedEndpoint: outcome.FailedEndpoint,
@@ -442,6 +440,9 @@
 func (r *Reservation) advance(stage Stage, kind wireKind) {
 	r.client.mu.Lock()
 	r.stage = stage
+	if stage == StageDecode {
+		r.startedAt = r.client.config.Now()
+	}
 	if r.alone != nil {
 		r.advanceAlone(stage)
 	}
--- a/pkg/dispatch/client_messages.go
+++ b/pkg/dispatch/client_messages.go
@@ -119,7 +119,11 @@
 
 // hold returns the reservation as an owner adopts it. The caller holds the lock.
 func (r *Reservation) hold(now time.Time) wireHold {
-	return encodeHold(Hold{Request: r.request, Stage: r.stage, Prefill: r.Grant.Prefill, Decode: r.Grant.Decode}, now)
+	hold := Hold{Request: r.request, Stage: r.stage, Prefill: r.Grant.Prefill, Decode: r.Grant.Decode}
+	if r.stage == StageDecode && !r.startedAt.IsZero() {
+		hold.Decoding = now.Sub(r.startedAt)
+	}
+	return encodeHold(hold, now)
 }
 
 // handleAudit answers for the identifiers that this front has made: it reports
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -122,9 +122,6 @@
 	OutputTokens int
 	// FailedEndpoint names the endpoint that failed, if one did.
 	FailedEndpoint string
-	// LostCache names the prefill endpoint whose KV cache was gone before it could
-	// be fetched, if one was.
-	LostCache string
 	// Busy is true when the endpoint refused the request because it was full.
 	Busy bool
 }
@@ -135,6 +132,8 @@
 	Stage   Stage
 	Prefill string
 	Decode  string
+	// Decoding is the time since the first token.
+	Decoding time.Duration
 }
 
 // PieceTokens is the number of tokens in one piece of decode memory, for
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -62,8 +62,8 @@
 	case kindStarted:
 		d.handleStage(now, envelope.Body, (*Planner).Started)
 		return nil
-	case kindDone, kindBusy, kindLostCache:
-		d.handleDone(now, envelope.Body, envelope.Kind)
+	case kindDone, kindBusy:
+		d.handleDone(now, envelope.Body, envelope.Kind == kindBusy)
 		return nil
 	}
 	if _, ok := d.all[envelope.Shard]; !ok {
@@ -144,7 +144,7 @@
 	}
 }
 
-func (d *Dispatcher) handleDone(now time.Time, body []byte, kind wireKind) {
+func (d *Dispatcher) handleDone(now time.Time, body []byte, busy bool) {
 	var wire wireDone
 	if err := link.Decode(body, &wire); err != nil {
 		return
@@ -154,11 +154,13 @@
 		return
 	}
 	o.dropOffer(wire.ID)
-	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: kind == kindBusy}
-	if kind == kindLostCache {
-		outcome.FailedEndpoint, outcome.LostCache = "", wire.FailedEndpoint
-	}
+	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: busy}
 	d.send(o, o.planner.Done(now, wire.ID, outcome, d.decisions[:0]))
+	if outcome.FailedEndpoint != "" {
+		load := o.planner.Load(now)
+		d.config.Log.Info("endpoint has failed a request", "endpoint", outcome.FailedEndpoint, "request", wire.ID.String(), "busy", busy,
+			"paused_ms", o.planner.paused(now, outcome.FailedEndpoint).Milliseconds(), "open_decode", load.OpenDecode, "open_prefill", load.OpenPrefill)
+	}
 }
 
 // maxHeard bounds the lives of fronts that are remembered.
--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -9,7 +9,7 @@
 const (
 	// firstCooldown is the pause after one failure; it doubles with each more.
 	firstCooldown = 500 * time.Millisecond
-	maxCooldown   = 30 * time.Second
+	maxCooldown   = 3 * time.Second
 	// limitPeriod spaces changes of an endpoint's limit.
 	limitPeriod = time.Second
 	// limitDecrease is the factor for an endpoint whose token gap is over target.
--- a/pkg/dispatch/memory.go
+++ b/pkg/dispatch/memory.go
@@ -20,6 +20,9 @@
 	// memoryShare is the part of an engine's memory that predicted peaks may fill;
 	// the rest takes up outputs that are longer than predicted.
 	memoryShare = 0.95
+	// roomyLoad is the predicted load below which an engine that refuses is not
+	// short of memory.
+	roomyLoad = 0.8
 	// hintWeight is the weight of a caller's guess at its output against the mean
 	// of its rank, on a logarithmic scale: guesses are as far off as outputs are
 	// spread.
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -20,8 +20,10 @@
 	pieces        int
 	work          float64
 	priority      int
-	grantedAt     time.Time
-	decodeAt      time.Time
+	// load is the predicted load of the decode endpoint with this request.
+	load      float64
+	grantedAt time.Time
+	decodeAt  time.Time
 }
 
 // Planner decides for one shard. It is a pure state machine: it reads no clock
@@ -220,7 +222,7 @@
 	h := &hold{
 		request: adopted.Request, stage: StageDecode, decode: decode, priority: adopted.Request.Rank,
 		pieces:    memoryPieces(p.service, adopted.Request),
-		grantedAt: now, decodeAt: now,
+		grantedAt: now, decodeAt: now.Add(-adopted.Decoding),
 	}
 	for _, e := range p.prefill {
 		if e.endpoint.Name == adopted.Prefill && adopted.Stage != StageDecode {
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -223,9 +223,6 @@
 }
 
 func (p *Planner) markFailure(now time.Time, h *hold, outcome Outcome) {
-	if h.prefill != nil && outcome.LostCache == h.prefill.endpoint.Name {
-		h.prefill.health.fail(now)
-	}
 	if outcome.FailedEndpoint == "" {
 		return
 	}
@@ -236,6 +233,11 @@
 		return
 	}
 	if outcome.Busy {
+		if h.prefill != nil && h.load < roomyLoad {
+			// The endpoint had room, so it was the KV cache that could not be fetched.
+			h.prefill.health.fail(now)
+			return
+		}
 		h.decode.busyUntil = now.Add(busyPause)
 		return
 	}
--- a/pkg/dispatch/planner_report.go
+++ b/pkg/dispatch/planner_report.go
@@ -58,6 +58,19 @@
 	return load
 }
 
+// paused returns how much longer an endpoint takes no work because of failures.
+func (p *Planner) paused(now time.Time, endpoint string) time.Duration {
+	for _, e := range p.prefill {
+		if e.endpoint.Name == endpoint {
+			return max(e.health.coolUntil.Sub(now), 0)
+		}
+	}
+	if e, ok := p.byName[endpoint]; ok {
+		return max(e.health.coolUntil.Sub(now), e.busyUntil.Sub(now), 0)
+	}
+	return 0
+}
+
 // Pressure is the predicted wait of the least urgent rank in 1/64 of its
 // target, at most MaxPressure.
 type Pressure uint8
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -56,7 +56,6 @@
 	kindReport
 	kindAudit
 	kindQueued
-	kindLostCache
 )
 
 // wireMessage is the envelope of all messages.
@@ -108,8 +107,8 @@
 	return flags
 }
 
-// wireDone is the body of kindDone, of kindBusy when the failed endpoint was full,
-// and of kindLostCache when it lost the KV cache. The body of kindPrefilled, kindStarted and kindQueued is a RequestID.
+// wireDone is the body of kindDone, and of kindBusy when the failed endpoint was
+// full. The body of kindPrefilled, kindStarted and kindQueued is a RequestID.
 type wireDone struct {
 	_              struct{} `cbor:",toarray"`
 	ID             RequestID
@@ -123,6 +122,8 @@
 	Stage   Stage
 	Prefill string
 	Decode  string
+	// DecodingMilliseconds is the time since the first token.
+	DecodingMilliseconds int64
 }
 
 type wireHolds struct {
@@ -191,11 +192,14 @@
 }
 
 func encodeHold(h Hold, now time.Time) wireHold {
-	return wireHold{Request: encodeRequest(h.Request, now), Stage: h.Stage, Prefill: h.Prefill, Decode: h.Decode}
+	return wireHold{Request: encodeRequest(h.Request, now), Stage: h.Stage, Prefill: h.Prefill, Decode: h.Decode, DecodingMilliseconds: h.Decoding.Milliseconds()}
 }
 
 func decodeHold(w wireHold, front string, now time.Time) Hold {
-	return Hold{Request: decodeRequest(w.Request, front, now), Stage: w.Stage, Prefill: w.Prefill, Decode: w.Decode}
+	return Hold{
+		Request: decodeRequest(w.Request, front, now), Stage: w.Stage, Prefill: w.Prefill, Decode: w.Decode,
+		Decoding: time.Duration(max(w.DecodingMilliseconds, 0)) * time.Millisecond,
+	}
 }
 
 // encodeMessage wraps a body in its envelope.
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -17,6 +17,9 @@
 const (
 	// maxModelSends bounds the calls that one request makes to engines.
 	maxModelSends = 6
+	// maxRefusals bounds the decode endpoints that are asked: when two that the
+	// dispatcher holds for free refuse, the others are likely full as well.
+	maxRefusals = 2
 	// prefillGrace is added to the predicted time of a prefill before it counts
 	// as lost.
 	prefillGrace = 500 * time.Millisecond
@@ -48,6 +51,8 @@
 	// handle is a KV cache that no endpoint has fetched yet, until handleUntil.
 	handle      Handle
 	handleUntil time.Time
+	// refusals counts the decode endpoints that refused the request.
+	refusals int
 	// exclude names the endpoint that has just failed.
 	exclude string
 }
@@ -90,7 +95,7 @@
 // mayRepeat reports whether another endpoint may take the request on.
 func (m *modelRun) mayRepeat(err error) bool {
 	j := m.job
-	if j.sends >= maxModelSends {
+	if j.sends >= maxModelSends || m.refusals >= maxRefusals || errors.Is(err, errNoBudget) {
 		return false
 	}
 	if errors.IsAny(err, errNotRun, connection.ErrNotSent) && !j.mayHaveRun {
@@ -107,9 +112,11 @@
 	if verdict == poison.VerdictCondemned {
 		return &Fault{Cause: CausePoisoned, RetryAfter: until.Sub(now)}
 	}
+	made := m.stream.made(j)
 	request := dispatch.Request{
 		ID: r.config.Client.NewRequestID(), Front: r.config.Host, Caller: j.call.Caller, Rank: m.rank,
-		PromptTokens: j.call.PromptTokens, OutputTokens: j.call.OutputTokens, ExpectedTokens: j.call.ExpectedTokens, Prefixes: j.call.Prefixes,
+		PromptTokens: j.call.PromptTokens + made, OutputTokens: max(j.call.OutputTokens-made, 1),
+		ExpectedTokens: max(j.call.ExpectedTokens-made, 0), Prefixes: j.call.Prefixes,
 		Arrival: j.call.Arrival, Exclude: m.exclude, Suspect: verdict == poison.VerdictSuspect,
 		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone,
 	}
@@ -183,26 +190,7 @@
 			return outcome, err
 		}
 	}
-	source := m.handle
-	outcome, err := m.decode(ctx, reservation, urgency, suspect)
-	if source.ID == "" || !errors.Is(err, errNotRun) || !outcome.Busy {
-		return outcome, err
-	}
-	// The endpoint is full, or it could not fetch the KV cache. It has a place by
-	// the dispatcher's account, so it is asked to compute the prompt itself.
-	m.free()
-	r.config.Log.Info("decode is tried without the KV cache", "request_id", m.job.call.ID, "endpoint", reservation.Decode.Name,
-		"prefill", reservation.Prefill.Name, "cache_age_ms", m.cacheAge(r.config.Now()).Milliseconds())
-	outcome, err = m.decode(ctx, reservation, urgency, suspect)
-	if err == nil || !errors.Is(err, errNotRun) {
-		outcome.LostCache = reservation.Prefill.Name
-	}
-	return outcome, err
-}
-
-// cacheAge returns the time since the last prefill.
-func (m *modelRun) cacheAge(now time.Time) time.Duration {
-	return now.Sub(m.handleUntil.Add(handleMargin - m.job.service.Engine.HandleTime))
+	return m.decode(ctx, reservation, urgency, suspect)
 }
 
 // endpointOf returns the endpoint of a grant if it still takes new work.
@@ -291,7 +279,8 @@
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
 		failed.Busy = reply.NotRun && !reply.Misdirected
-		return failed, errors.Newf("decode was refused with %d: %w", reply.Status, errNotRun)
+		m.refusals++
+		return failed, errors.Newf("decode was refused with %d, KV cache of %s: %w", reply.Status, order.Source.Address, errNotRun)
 	}
 	m.handle = Handle{}
 	m.noteRun()
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -101,6 +101,12 @@
 // errCallerWrite reports that the caller takes nothing any more.
 var errCallerWrite = errors.New("caller takes nothing")
 
+// made returns the output tokens that the caller has already, which the next
+// endpoint takes into its memory with the prompt.
+func (s *stream) made(j *job) int {
+	return int(max(s.last+1, 0)) * max(j.service.Engine.TokensPerEvent, 1)
+}
+
 // complete ends a stream whose endpoint has ended it.
 func (s *stream) complete(reply *Reply) error {
 	if !s.job.answer.Started() {
