Let a new owner know the progress of the requests that it adopts

Cause: an owner that had just started predicted memory with a token time of 4.9 ms, the gap target, and counted adopted requests from zero, so it overfilled the engines and their refusals closed the prefill endpoints. Change: fronts report the tokens made, the service has a usual token time, failures of one incident count once.

--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -18,6 +18,8 @@
 	// firstStep is the time that a transfer and the first decode step take at a
 	// usual batch.
 	firstStep = 90 * time.Millisecond
+	// tokenTime is the time for one output token of a large model at a busy batch.
+	tokenTime = 900 * time.Microsecond
 	// floorShare is the part of granted work that each less urgent rank keeps.
 	floorShare = 0.05
 )
@@ -68,7 +70,7 @@
 	result := ticket.Service{
 		Name: service.Name, Kind: ticket.KindModel,
 		KVBytesPerToken: service.Engine.BytesPerToken, PieceTokens: pieceTokens,
-		AllZones: true, MemoryGrows: true, DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep),
+		AllZones: true, MemoryGrows: true, DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep), TokenTime: ticket.Duration(tokenTime),
 	}
 	for i, priority := range Priorities(state, service.Name) {
 		target, gap := targetsOf(state, service.Name, priority)
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -125,6 +125,7 @@
 	stage   Stage
 	// startedAt is the time of the first token.
 	startedAt time.Time
+	made      atomic.Int64
 	// alone is the Planner that granted it when no owner did.
 	alone *Planner
 }
@@ -452,6 +453,11 @@
 	}
 }
 
+// Progress notes the output tokens that were made since Started.
+func (r *Reservation) Progress(tokens int) {
+	r.made.Store(int64(tokens))
+}
+
 // Done releases all that the reservation holds.
 func (r *Reservation) Done(outcome Outcome) {
 	r.client.mu.Lock()
--- a/pkg/dispatch/client_messages.go
+++ b/pkg/dispatch/client_messages.go
@@ -122,6 +122,7 @@
 	hold := Hold{Request: r.request, Stage: r.stage, Prefill: r.Grant.Prefill, Decode: r.Grant.Decode}
 	if r.stage == StageDecode && !r.startedAt.IsZero() {
 		hold.Decoding = now.Sub(r.startedAt)
+		hold.Made = int(r.made.Load())
 	}
 	return encodeHold(hold, now)
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -132,8 +132,9 @@
 	Stage   Stage
 	Prefill string
 	Decode  string
-	// Decoding is the time since the first token.
+	// Decoding is the time since the first token, Made the tokens since then.
 	Decoding time.Duration
+	Made     int
 }
 
 // PieceTokens is the number of tokens in one piece of decode memory, for
--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -26,6 +26,7 @@
 type health struct {
 	failures  int
 	coolUntil time.Time
+	failedAt  time.Time
 	// probing is true while the one request is granted that finds out whether
 	// the endpoint works again.
 	probing bool
@@ -36,7 +37,12 @@
 	return !now.Before(h.coolUntil) && !h.probing
 }
 
+// fail closes the endpoint for a pause. Requests that fail together count once.
 func (h *health) fail(now time.Time) {
+	if now.Before(h.coolUntil) && now.Sub(h.failedAt) < firstCooldown {
+		return
+	}
+	h.failedAt = now
 	pause := min(firstCooldown<<min(h.failures, 10), maxCooldown)
 	h.failures++
 	h.coolUntil = now.Add(pause)
--- a/pkg/dispatch/memory.go
+++ b/pkg/dispatch/memory.go
@@ -74,17 +74,21 @@
 // been measured.
 const typicalOutput = 0.6
 
-// tokenTime returns the time for one output token, measured or at its target.
+// tokenTime returns the seconds for one output token: measured, the service's own
+// figure, or the target.
 func (p *Planner) tokenTime(e *decodeEndpoint) float64 {
+	if usual := time.Duration(p.service.TokenTime); usual > 0 {
+		return e.gap.or(usual.Seconds())
+	}
 	return e.gap.or(p.queues.ranks[0].targets.gap.Seconds())
 }
 
 // demandOf returns the memory demand of a granted request.
 func (p *Planner) demandOf(now time.Time, h *hold) demand {
 	expected := p.expectedOutput(h.request)
-	made := 0.0
+	made := float64(h.made)
 	if h.stage == StageDecode {
-		made = now.Sub(h.decodeAt).Seconds() / p.tokenTime(h.decode)
+		made += now.Sub(h.decodeAt).Seconds() / p.tokenTime(h.decode)
 	}
 	made = min(made, float64(h.request.OutputTokens))
 	left := max(expected-made, overrunShare*expected)
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -20,6 +20,8 @@
 	pieces        int
 	work          float64
 	priority      int
+	// made is the number of output tokens that were made before decodeAt.
+	made int
 	// load is the predicted load of the decode endpoint with this request.
 	load      float64
 	grantedAt time.Time
@@ -222,7 +224,10 @@
 	h := &hold{
 		request: adopted.Request, stage: StageDecode, decode: decode, priority: adopted.Request.Rank,
 		pieces:    memoryPieces(p.service, adopted.Request),
-		grantedAt: now, decodeAt: now.Add(-adopted.Decoding),
+		grantedAt: now, decodeAt: now, made: adopted.Made,
+	}
+	if adopted.Made > 0 && adopted.Decoding > 0 {
+		decode.gap.add(adopted.Decoding.Seconds() / float64(adopted.Made))
 	}
 	for _, e := range p.prefill {
 		if e.endpoint.Name == adopted.Prefill && adopted.Stage != StageDecode {
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -124,6 +124,7 @@
 	Decode  string
 	// DecodingMilliseconds is the time since the first token.
 	DecodingMilliseconds int64
+	Made                 int
 }
 
 type wireHolds struct {
@@ -192,13 +193,13 @@
 }
 
 func encodeHold(h Hold, now time.Time) wireHold {
-	return wireHold{Request: encodeRequest(h.Request, now), Stage: h.Stage, Prefill: h.Prefill, Decode: h.Decode, DecodingMilliseconds: h.Decoding.Milliseconds()}
+	return wireHold{Request: encodeRequest(h.Request, now), Stage: h.Stage, Prefill: h.Prefill, Decode: h.Decode, DecodingMilliseconds: h.Decoding.Milliseconds(), Made: h.Made}
 }
 
 func decodeHold(w wireHold, front string, now time.Time) Hold {
 	return Hold{
 		Request: decodeRequest(w.Request, front, now), Stage: w.Stage, Prefill: w.Prefill, Decode: w.Decode,
-		Decoding: time.Duration(max(w.DecodingMilliseconds, 0)) * time.Millisecond,
+		Decoding: time.Duration(max(w.DecodingMilliseconds, 0)) * time.Millisecond, Made: min(max(w.Made, 0), maxPromptTokens),
 	}
 }
 
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -288,8 +288,11 @@
 	if !isStream(reply) {
 		return failed, j.answer.pass(reply)
 	}
+	before := m.stream.events
+	made := func() int { return (m.stream.events - before) * max(j.service.Engine.TokensPerEvent, 1) }
+	m.stream.passed = func() { reservation.Progress(made()) }
 	err = m.stream.relay(reply, r.config.Now, silence(cancel))
-	outcome := dispatch.Outcome{OutputTokens: m.stream.events * max(j.service.Engine.TokensPerEvent, 1)}
+	outcome := dispatch.Outcome{OutputTokens: made()}
 	if err == nil || errors.Is(err, errCallerWrite) || ctx.Err() != nil {
 		return outcome, err
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -35,6 +35,8 @@
 	// before one.
 	lastAt time.Time
 	maxGap time.Duration
+	// passed is called after each event.
+	passed func()
 }
 
 // relay passes the events of one reply on until the stream is complete. silent
@@ -89,6 +91,7 @@
 	}
 	s.events++
 	s.lastAt = now
+	s.passed()
 	return nil
 }
 
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -88,6 +88,9 @@
 	// MemoryGrows is true when engines take memory for output as it is made, and
 	// not when a request begins.
 	MemoryGrows bool `json:"memory_grows,omitempty"`
+	// TokenTime is the usual time for one output token, when it is far below the
+	// token gap's target.
+	TokenTime Duration `json:"token_time,omitempty"`
 	// FirstStep is the time from the end of a prefill to the first token, when it
 	// is far from the token gap's target.
 	FirstStep Duration `json:"first_step,omitempty"`
