Move engines between the pools where that lets the service serve more

Cause: four of nine engines prefill at a third of their rate while decode memory refuses requests. Change: the owner of a shard compares what the pools serve now and with one engine moved, from measured rates, and orders the move under a lease of the store, whose revision is the fencing number.

--- /dev/null
+++ b/pkg/daemon/orders.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/store"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+	"github.com/turmerictide/turmerictide/platform"
+)
+
+const (
+	// orderKeyPrefix begins the store's keys of the leases under which engines of
+	// a service are ordered to change their role.
+	orderKeyPrefix = "turmerictide/orders/"
+	// orderLease is the time for which no other daemon may give orders to the
+	// engines of the service. An order that had no answer is carried out or void
+	// by then.
+	orderLease = 14 * time.Second
+	// orderTimeout is the time from the start of taking the lease in which the
+	// order must be sent, far below the lease.
+	orderTimeout = 2 * time.Second
+)
+
+// errLeaseTaken reports that another daemon gives orders now.
+var errLeaseTaken = errors.New("another daemon holds the lease")
+
+// orders gives orders to engines, under a lease and with its fencing number.
+type orders struct {
+	host      string
+	store     *store.Store
+	endpoints platform.Endpoints
+	now       func() time.Time
+}
+
+// move orders one engine to change its role. The lease is not given back: it ends
+// by itself, so that orders of two daemons are always far apart.
+func (o *orders) move(service string, move dispatch.Move) error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	fencing, err := o.takeLease(ctx, service)
+	if err != nil {
+		return errors.Newf("take lease: %w", err)
+	}
+	if err := o.endpoints.Order(ctx, move.Endpoint.Name, move.Endpoint.Address, move.Role, o.host, fencing); err != nil {
+		return errors.Newf("send order: %w", err)
+	}
+	return nil
+}
+
+// takeLease returns the revision at which the lease was taken, which only grows.
+func (o *orders) takeLease(ctx context.Context, service string) (store.Revision, error) {
+	lease, err := o.store.GrantLease(ctx, orderLease)
+	if err != nil {
+		return 0, err
+	}
+	key := orderKeyPrefix + service
+	result, err := o.store.Commit(ctx, store.Commit{
+		Compares: []store.Compare{{Key: key}},
+		Puts:     []store.Put{{Key: key, Value: []byte(o.host), Lease: lease}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	if !result.Succeeded {
+		return 0, errLeaseTaken
+	}
+	return result.Revision, nil
+}
+
+// moveEngine carries out a move that the owner of a shard has decided on. done is
+// called when the engine will not change, or has.
+func (d *PlatformDaemon) moveEngine(service string, move dispatch.Move) {
+	log := d.log.WithName("orders").WithValues("service", service, "endpoint", move.Endpoint.Name, "role", move.Role)
+	log.Info("engine is to change its role", "serves_per_second", move.Before, "would_serve_per_second", move.After)
+	go func() {
+		d.dispatcher.SetReportedLeaving(move.Endpoint.Name, true)
+		if err := d.orders.move(service, move); err != nil {
+			log.Info("engine was not ordered", "error", err.Error())
+			d.dispatcher.SetReportedLeaving(move.Endpoint.Name, false)
+			return
+		}
+		log.Info("engine was ordered")
+		d.awaitRole(move.Endpoint.Name, move.Role)
+		d.dispatcher.SetReportedLeaving(move.Endpoint.Name, false)
+	}()
+}
+
+// rolePeriod spaces the looks at whether an engine has changed its role.
+const rolePeriod = 200 * time.Millisecond
+
+// awaitRole returns when an engine has its new role, or has not after the lease.
+func (d *PlatformDaemon) awaitRole(endpoint string, role ticket.Role) {
+	for deadline := d.now().Add(orderLease); d.now().Before(deadline); {
+		state := d.directory.Current()
+		if e, ok := state.Endpoints[endpoint]; !ok || e.Role == role {
+			return
+		}
+		time.Sleep(rolePeriod)
+	}
+}
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -48,6 +48,8 @@
 	membersChanged func()
 	// cancelHold ends a request at its endpoints.
 	cancelHold func(hold dispatch.Hold, fencing dispatch.FencingNumber, confirmed func())
+	// moveEngine orders an engine to change its role, nil where none can.
+	moveEngine func(service string, move dispatch.Move)
 }
 
 // topics lists the topics of all peer messages in the order of their codes. A
@@ -86,7 +88,7 @@
 		Host: p.self.Host, AvailabilityZone: p.self.AvailabilityZone,
 		Mesh: p.mesh, Now: now, Log: log.WithName("dispatch"),
 		Hosts: p.members.Hosts, FrontLife: p.frontLife, ZoneOf: p.zoneOf,
-		CancelHold: n.cancelHold, SpreadPressure: p.spreadPressure,
+		CancelHold: n.cancelHold, SpreadPressure: p.spreadPressure, MoveEngine: n.moveEngine,
 	})
 	p.client = dispatch.NewClient(dispatch.ClientConfig{
 		Host: p.self.Host, AvailabilityZone: p.self.AvailabilityZone,
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -39,6 +39,7 @@
 	directory    *directory.Directory
 	pool         *connection.Pool
 	relay        *relay.Relay
+	orders       *orders
 	idle         *idleConnections
 
 	caller   *listener
@@ -57,6 +58,7 @@
 	shared, err := newPeers(s, log, now, news{
 		number:      func() ticket.Number { return d.directory.Number() },
 		numberHeard: d.numberHeard, membersChanged: d.membersChanged, cancelHold: d.cancelHold,
+		moveEngine: d.moveEngine,
 	})
 	if err != nil {
 		return nil, errors.Newf("build peers: %w", err)
@@ -71,7 +73,9 @@
 	d.registration = member.NewRegistration(metadata, d.self, log.WithName("member"))
 	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
 	d.pool = connection.NewPool(d.connectionLimit, now)
-	d.buildRelay()
+	endpoints := platform.Endpoints{Pool: d.pool}
+	d.orders = &orders{host: d.self.Host, store: metadata, endpoints: endpoints, now: now}
+	d.buildRelay(endpoints)
 	d.buildListeners()
 	d.route()
 	return d, nil
@@ -85,9 +89,8 @@
 	return netip.ParseAddrPort(parsed.Host)
 }
 
-func (d *PlatformDaemon) buildRelay() {
+func (d *PlatformDaemon) buildRelay(endpoints platform.Endpoints) {
 	d.metrics = metric.NewSet(append(d.peers.gauges(), d.gauges()...))
-	endpoints := platform.Endpoints{Pool: d.pool}
 	d.relay = relay.New(relay.Config{
 		Host: d.self.Host, AvailabilityZone: d.self.AvailabilityZone,
 		State: d.directory.Current, Client: d.client, Endpoints: endpoints.Calls(),
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -58,6 +58,9 @@
 	// CancelHold ends a hold at its endpoints and calls confirmed when they run
 	// it no more.
 	CancelHold func(hold Hold, fencing FencingNumber, confirmed func())
+	// MoveEngine orders an engine of a service to change its role. It is nil where
+	// engines take no orders, and must not block.
+	MoveEngine func(service string, move Move)
 	// SpreadPressure tells the other daemons of a shard's pressure.
 	SpreadPressure func(id ShardID, pressure Pressure)
 }
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -29,12 +29,24 @@
 			d.send(o, o.planner.Tick(now, d.decisions[:0]))
 		}
 		d.audit(now, o)
+		d.rebalance(now, o)
 		d.tellPressure(now, o)
 		busy = busy || o.isBusy()
 	}
 	return busy
 }
 
+// rebalance has an engine moved between the pools of an owned shard where that is
+// worth it.
+func (d *Dispatcher) rebalance(now time.Time, o *ownedShard) {
+	if d.config.MoveEngine == nil || !o.standInUntil.IsZero() || o.isRebuilding(now) {
+		return
+	}
+	if move, ok := o.planner.Rebalance(now); ok {
+		d.config.MoveEngine(o.shard.Key.Service, move)
+	}
+}
+
 // beat rebuilds all shards when the process was stopped. The caller holds the lock.
 func (d *Dispatcher) beat(now time.Time) {
 	if !d.pause.beat(now) {
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -46,6 +46,8 @@
 	promptWork mean
 	// footprint is the mean memory of a request over the time for which it runs.
 	footprint mean
+	// movedAt is the time of the last move of an engine between the pools.
+	movedAt time.Time
 	// demands is reused between predictions.
 	demands []demand
 	blocked []*callerQueue
