--- a/pkg/daemon/orders.go
+++ b/pkg/daemon/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,9 +18,12 @@
 	// a service are ordered to change their role.
 	orderKeyPrefix = "turmerictide/orders/"
 	// orderLease is the time for which no other daemon may give orders to the
-	// engines of the service. An order that had no answer is carried out or void
-	// by then.
-	orderLease = 14 * time.Second
+	// engines of the service: twice the 3 s in which the platform looks for holders
+	// that take turns.
+	orderLease = 6 * time.Second
+	// roleTimeout is the time in which an engine has its new role, also when the
+	// order is carried out late.
+	roleTimeout = 14 * time.Second
 	// orderTimeout is the time from the start of taking the lease in which the
 	// order must be sent, far below the lease.
 	orderTimeout = 2 * time.Second
@@ -34,8 +38,20 @@
 	store     *store.Store
 	endpoints platform.Endpoints
 	now       func() time.Time
+
+	mu   sync.Mutex
+	held map[string]heldLease
+}
+
+// heldLease is a lease that this daemon has taken.
+type heldLease struct {
+	fencing store.Revision
+	takenAt time.Time
 }
 
+// leaseUse is the time for which a lease that was taken serves further orders.
+const leaseUse = orderLease / 2
+
 // move orders one engine to change its role. The lease is not given back: it ends
 // by itself, so that orders of two daemons are always far apart.
 func (o *orders) move(service string, move dispatch.Move) error {
@@ -53,6 +69,13 @@
 
 // takeLease returns the revision at which the lease was taken, which only grows.
 func (o *orders) takeLease(ctx context.Context, service string) (store.Revision, error) {
+	now := o.now()
+	o.mu.Lock()
+	held, ok := o.held[service]
+	o.mu.Unlock()
+	if ok && now.Sub(held.takenAt) < leaseUse {
+		return held.fencing, nil
+	}
 	lease, err := o.store.GrantLease(ctx, orderLease)
 	if err != nil {
 		return 0, err
@@ -68,6 +91,9 @@
 	if !result.Succeeded {
 		return 0, errLeaseTaken
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held[service] = heldLease{fencing: result.Revision, takenAt: now}
 	return result.Revision, nil
 }
 
@@ -81,6 +107,7 @@
 		if err := d.orders.move(service, move); err != nil {
 			log.Info("engine was not ordered", "error", err.Error())
 			d.dispatcher.SetReportedLeaving(move.Endpoint.Name, false)
+			d.dispatcher.RetryMove(service)
 			return
 		}
 		log.Info("engine was ordered")
@@ -92,9 +119,9 @@
 // rolePeriod spaces the looks at whether an engine has changed its role.
 const rolePeriod = 200 * time.Millisecond
 
-// awaitRole returns when an engine has its new role, or has not after the lease.
+// awaitRole returns when an engine has its new role, or has not in time.
 func (d *PlatformDaemon) awaitRole(endpoint string, role ticket.Role) {
-	for deadline := d.now().Add(orderLease); d.now().Before(deadline); {
+	for deadline := d.now().Add(roleTimeout); d.now().Before(deadline); {
 		state := d.directory.Current()
 		if e, ok := state.Endpoints[endpoint]; !ok || e.Role == role {
 			return
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -74,7 +74,7 @@
 	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
 	d.pool = connection.NewPool(d.connectionLimit, now)
 	endpoints := platform.Endpoints{Pool: d.pool}
-	d.orders = &orders{host: d.self.Host, store: metadata, endpoints: endpoints, now: now}
+	d.orders = &orders{host: d.self.Host, store: metadata, endpoints: endpoints, now: now, held: map[string]heldLease{}}
 	d.buildRelay(endpoints)
 	d.buildListeners()
 	d.route()
--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -58,14 +58,16 @@
 	// balancerNotice is the time in which the platform's balancer stops sending new
 	// connections: two looks a second apart, and one on its way.
 	balancerNotice = 3200 * time.Millisecond
+	// plainWords is the part that is left for plain calls, which last under a second.
+	plainWords = 800 * time.Millisecond
 	// lastWords is the part of the shutdown time that is left for the end of the
 	// process.
 	lastWords = 500 * time.Millisecond
 )
 
 // shutDown drains the daemon. It goes on taking requests until the balancer has
-// noticed that it is not ready, then serves what is in flight to the end, as far
-// as the shutdown time allows.
+// noticed that it is not ready. Then it takes no more streams, which may last
+// longer than the time that is left, and ends as soon as those in flight have.
 func (d *PlatformDaemon) shutDown(signals <-chan os.Signal) error {
 	d.draining.Store(true)
 	d.members.Leave()
@@ -77,6 +79,8 @@
 		cancel()
 	case <-time.After(balancerNotice):
 	}
+	d.relay.RefuseStreams()
+	d.awaitStreams(ctx)
 	err := d.caller.server.Shutdown(ctx)
 	cut := d.relay.Serving()
 	_ = d.caller.server.Close()
@@ -93,3 +97,21 @@
 	d.log.Info("daemon has drained")
 	return nil
 }
+
+// streamsPeriod spaces the looks at whether streams are in flight.
+const streamsPeriod = 20 * time.Millisecond
+
+// awaitStreams returns when no stream is in flight, or shortly before ctx ends.
+func (d *PlatformDaemon) awaitStreams(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, max(d.settings.Limits.ShutdownTimeout-balancerNotice-lastWords-plainWords, 0))
+	defer cancel()
+	ticker := time.NewTicker(streamsPeriod)
+	defer ticker.Stop()
+	for d.relay.Streams() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// RetryMove lets the owner of a service decide on a move again soon, because its
+// last one was not ordered.
+func (d *Dispatcher) RetryMove(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, o := range d.owned {
+		if o.shard.Key.Service == service {
+			o.planner.movedAt = d.config.Now().Add(retryMoveAfter - rebalancePause)
+		}
+	}
+}
+
 // beat rebuilds all shards when the process was stopped. The caller holds the lock.
 func (d *Dispatcher) beat(now time.Time) {
 	if !d.pause.beat(now) {
--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -140,6 +140,8 @@
 	// used and pieces are the places and memory pieces that are reserved.
 	used   int
 	pieces int
+	// prompts counts the requests whose prompt it computes itself.
+	prompts int
 	// holds are the requests that have the places.
 	holds map[RequestID]*hold
 	// limit is the number of places in use at most. It is below the configured
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
 // placement is a choice of endpoints with its predicted times.
@@ -105,6 +107,10 @@
 	choice.decode.health.grant()
 	if choice.prefill == nil {
 		h.stage = StageDecode
+		if p.service.Kind == ticket.KindModel && !w.request.DecodeOnly {
+			h.isPrompt = true
+			choice.decode.prompts++
+		}
 	} else {
 		result.Prefill = choice.prefill.endpoint.Name
 		choice.prefill.health.grant()
@@ -126,7 +132,62 @@
 	if p.needsNoPrefill(w.request) {
 		return placement{decode: decode}, true
 	}
-	return p.choosePrefill(now, w, priority, decode)
+	if choice, ok := p.choosePrefill(now, w, priority, decode); ok {
+		return choice, true
+	}
+	return p.overflow(now, w, decode)
+}
+
+const (
+	// decodePrefillSlowdown is how much longer a decode endpoint takes for a prompt
+	// than a prefill endpoint, between the tokens of its other requests.
+	decodePrefillSlowdown = 2.5
+	// overflowLoad is the load from which a decode endpoint takes no prompts, since
+	// they slow the tokens of all that it runs.
+	overflowLoad = 0.85
+)
+
+// overflow places a request at a decode endpoint alone when the prefill pool is
+// short: all of its endpoints are closed, or busy for too long.
+func (p *Planner) overflow(now time.Time, w *waiting, decode *decodeEndpoint) (placement, bool) {
+	if !p.service.DecodeReadsPrompts || decode.prompts > 0 {
+		return placement{}, false
+	}
+	if p.isPrefillOpen(now) {
+		return placement{}, false
+	}
+	if 1-p.freeShare(now, decode, w.request) > overflowLoad {
+		return placement{}, false
+	}
+	return placement{decode: decode, tokens: float64(w.request.PromptTokens), firstToken: p.decodePrefillTime(w.request)}, true
+}
+
+// decodePrefillTime returns the time to the first token when a decode endpoint
+// computes the prompt.
+func (p *Planner) decodePrefillTime(r Request) time.Duration {
+	seconds := float64(r.PromptTokens) / p.nominalRate() * decodePrefillSlowdown
+	return time.Duration(seconds*float64(time.Second)) + p.firstStep(r.Rank)
+}
+
+// nominalRate returns the prompt tokens a second of one prefill endpoint.
+func (p *Planner) nominalRate() float64 {
+	best := 0.0
+	for _, e := range p.prefill {
+		best = max(best, e.tokensPerSecond())
+	}
+	for _, e := range p.decode {
+		best = max(best, e.endpoint.TokensPerSecond)
+	}
+	return max(best, 1)
+}
+
+func (p *Planner) isPrefillOpen(now time.Time) bool {
+	for _, e := range p.prefill {
+		if e.isOpen(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // chooseDecode returns the open endpoint with the largest free part of its
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -20,6 +20,8 @@
 	pieces        int
 	work          float64
 	priority      int
+	// isPrompt is true while the decode endpoint computes the prompt.
+	isPrompt bool
 	// made is the number of output tokens that were made before decodeAt.
 	made int
 	// load is the predicted load of the decode endpoint with this request.
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -50,7 +50,7 @@
 
 // unfit returns why no endpoint can serve the request before latest, or "".
 func (p *Planner) unfit(request Request, latest time.Time) Cause {
-	prefill := p.needsNoPrefill(request)
+	prefill := p.needsNoPrefill(request) || p.service.DecodeReadsPrompts
 	for _, e := range p.prefill {
 		prefill = prefill || (e.isUsable() && e.health.coolUntil.Before(latest) && e.endpoint.Name != request.Exclude)
 	}
@@ -74,10 +74,7 @@
 
 // needsNoPrefill reports whether a decode place alone serves a request.
 func (p *Planner) needsNoPrefill(request Request) bool {
-	if p.service.Kind == ticket.KindPlain || request.DecodeOnly {
-		return true
-	}
-	return p.service.DecodeReadsPrompts && p.prefillRate() == 0
+	return p.service.Kind == ticket.KindPlain || request.DecodeOnly
 }
 
 // leastTime returns the time from the grant to the first token when nothing is
@@ -143,9 +140,14 @@
 // Started notes that the decode endpoint produces tokens. The link becomes free.
 func (p *Planner) Started(now time.Time, id RequestID, decisions []Decision) []Decision {
 	h, ok := p.holds[id]
-	if !ok || h.stage == StageDecode {
+	if !ok || (h.stage == StageDecode && !h.isPrompt) {
 		return decisions
 	}
+	if h.isPrompt {
+		p.endPrompt(h)
+		h.decodeAt = now
+		return p.schedule(now, decisions)
+	}
 	if h.stage == StagePrefill && h.prefill != nil {
 		p.leavePrefill(now, h)
 	}
@@ -155,6 +157,14 @@
 	return p.schedule(now, decisions)
 }
 
+// endPrompt notes that a decode endpoint has computed a prompt.
+func (p *Planner) endPrompt(h *hold) {
+	if h.isPrompt {
+		h.isPrompt = false
+		h.decode.prompts--
+	}
+}
+
 func (p *Planner) leaveLink(h *hold) {
 	if h.prefill == nil {
 		return
@@ -182,6 +192,7 @@
 	if h.stage != StageDecode {
 		p.leaveLink(h)
 	}
+	p.endPrompt(h)
 	h.decode.used--
 	h.decode.pieces -= h.pieces
 	delete(h.decode.holds, id)
--- a/pkg/dispatch/rebalance.go
+++ b/pkg/dispatch/rebalance.go
@@ -23,6 +23,8 @@
 	// rebalancePause spaces the moves of one shard. It is longer than an engine is
 	// away and an order without an answer may still be carried out.
 	rebalancePause = 16 * time.Second
+	// retryMoveAfter is the pause after a move that could not be ordered.
+	retryMoveAfter = 2 * time.Second
 	// busyShare is the part of what the service can serve that must be asked for,
 	// for a move to be of use.
 	busyShare = 0.4
@@ -42,11 +44,16 @@
 // Rebalance returns an engine to move, if that is worth it now. A move that is
 // returned counts as made.
 func (p *Planner) Rebalance(now time.Time) (Move, bool) {
-	if p.holdTime.samples < rebalanceSamples || now.Sub(p.movedAt) < rebalancePause {
+	if now.Sub(p.movedAt) < rebalancePause {
 		return Move{}, false
 	}
 	prefill, decode := p.countUsable()
-	if prefill == 0 || decode == 0 {
+	if prefill == 0 && decode >= leastPool {
+		// Whatever is measured, a pool without engines serves nothing.
+		p.movedAt = now
+		return Move{Endpoint: p.leastUsedDecode(), Role: ticket.RolePrefill}, true
+	}
+	if prefill == 0 || decode == 0 || p.holdTime.samples < rebalanceSamples {
 		return Move{}, false
 	}
 	perPrefill := p.prefillRate() / float64(prefill) / max(p.promptWork.value, 1)
--- a/pkg/relay/fault.go
+++ b/pkg/relay/fault.go
@@ -21,6 +21,8 @@
 	CauseFull Cause = "full"
 	// CauseTooLate: the call cannot be served in time.
 	CauseTooLate Cause = "too_late"
+	// CauseLeaving: the daemon shuts down.
+	CauseLeaving Cause = "leaving"
 	// CausePoisoned: calls like this one have crashed the endpoints that ran them.
 	CausePoisoned Cause = "poisoned"
 	// CauseTimeout: the time was over while an endpoint may have worked on the call.
@@ -36,7 +38,7 @@
 // notRun reports whether the cause stands for a call that no endpoint has run.
 func (c Cause) notRun() bool {
 	switch c {
-	case CauseNoState, CauseNoEndpoint, CauseFull, CauseTooLate, CausePoisoned:
+	case CauseNoState, CauseNoEndpoint, CauseFull, CauseTooLate, CauseLeaving, CausePoisoned:
 		return true
 	}
 	return false
@@ -68,6 +70,8 @@
 const (
 	// stateRetryAfter is the time in which a starting daemon learns its state.
 	stateRetryAfter = 500 * time.Millisecond
+	// leavingRetryAfter lets callers come back at once, at another daemon.
+	leavingRetryAfter = 100 * time.Millisecond
 	// refusalRetryAfter is the time in which a full or missing endpoint of a
 	// plain service may be back.
 	refusalRetryAfter = 250 * time.Millisecond
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -158,6 +158,9 @@
 type Relay struct {
 	config  Config
 	serving atomic.Int64
+	streams atomic.Int64
+	// refusing is true when no more streams are taken.
+	refusing atomic.Bool
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -174,6 +177,16 @@
 	return int(r.serving.Load())
 }
 
+// Streams returns the number of streams among them.
+func (r *Relay) Streams() int {
+	return int(r.streams.Load())
+}
+
+// RefuseStreams makes all further streams be refused, to be sent elsewhere.
+func (r *Relay) RefuseStreams() {
+	r.refusing.Store(true)
+}
+
 // Refresh forgets endpoints that are gone.
 func (r *Relay) Refresh(state *directory.State) {
 	names := make(map[string]bool, len(state.Endpoints))
@@ -253,6 +266,11 @@
 	r.budget(name).Earn()
 	var err error
 	if j.service.Engine != nil {
+		if r.refusing.Load() {
+			return &Fault{Cause: CauseLeaving, RetryAfter: leavingRetryAfter}
+		}
+		r.streams.Add(1)
+		defer r.streams.Add(-1)
 		err = r.serveModel(ctx, j)
 	} else {
 		err = r.servePlain(ctx, j)
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -15,8 +15,8 @@
 	// firstSilence and gapSilence are the silences before the first event and
 	// between events after which a stream that can be resumed goes on elsewhere.
 	// Both are well below the 2 s at which callers begin to give up.
-	firstSilence = 1200 * time.Millisecond
-	gapSilence   = 900 * time.Millisecond
+	firstSilence = 1500 * time.Millisecond
+	gapSilence   = 1500 * time.Millisecond
 )
 
 // errSilent ends a sending whose stream has fallen silent.
