Prefer endpoints of the front's zone, and compute prompts at decode endpoints only without a prefill pool

Cause: a cut between zones broke every stream that crossed it, and its prompt was read again. Change: a decode endpoint of the front's own zone may be a quarter fuller and still be chosen, a prefill endpoint in its zone 40 ms later.

--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -147,13 +147,11 @@
 	overflowLoad = 0.85
 )
 
-// overflow places a request at a decode endpoint alone when the prefill pool is
-// short: all of its endpoints are closed, or busy for too long.
+// overflow places a request at a decode endpoint alone when the shard has no
+// prefill endpoint. While it has one, also a closed one, waiting serves callers
+// better: prompts slow the tokens of everything that a decode endpoint runs.
 func (p *Planner) overflow(now time.Time, w *waiting, decode *decodeEndpoint) (placement, bool) {
-	if !p.service.DecodeReadsPrompts || decode.prompts > 0 {
-		return placement{}, false
-	}
-	if p.isPrefillOpen(now) {
+	if !p.service.DecodeReadsPrompts || p.prefillRate() > 0 || decode.prompts > 0 {
 		return placement{}, false
 	}
 	if 1-p.freeShare(now, decode, w.request) > overflowLoad {
@@ -181,15 +179,6 @@
 	return max(best, 1)
 }
 
-func (p *Planner) isPrefillOpen(now time.Time) bool {
-	for _, e := range p.prefill {
-		if e.isOpen(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // chooseDecode returns the open endpoint with the largest free part of its
 // places that has the memory, or nil.
 func (p *Planner) chooseDecode(now time.Time, w *waiting) *decodeEndpoint {
@@ -201,6 +190,9 @@
 			continue
 		}
 		share := p.freeShare(now, e, w.request)
+		if isLocal(e.endpoint, w.request) {
+			share += localShare
+		}
 		if best == nil || share > bestShare {
 			best, bestShare = e, share
 		}
@@ -208,12 +200,29 @@
 	return best
 }
 
+const (
+	// localShare is how much fuller an endpoint in the front's own availability
+	// zone may be and still be chosen: its streams survive a cut between zones, and
+	// it costs no traffic between them.
+	localShare = 0.25
+	// localTime is how much later a prefill endpoint in the decode endpoint's zone
+	// may finish and still be chosen, since transfers between zones take longer and
+	// can be cut.
+	localTime = 40 * time.Millisecond
+)
+
+// isLocal reports whether an endpoint is in the zone of a request's front.
+func isLocal(e ticket.Endpoint, r Request) bool {
+	return r.Zone != "" && e.AvailabilityZone == r.Zone
+}
+
 // choosePrefill completes a placement with the prefill endpoint that is
 // predicted to finish first, counting the prefill that its cache saves.
 func (p *Planner) choosePrefill(now time.Time, w *waiting, priority int, decode *decodeEndpoint) (placement, bool) {
 	request := w.request
 	bytes := float64(request.PromptTokens) * float64(p.service.KVBytesPerToken)
 	var best placement
+	var bestRating time.Duration
 	for _, e := range p.prefill {
 		barred := e.endpoint.Name == request.Exclude || (request.Suspect && e.suspects > 0)
 		if barred || !e.isOpen(now) || !p.mayQueueAt(now, e, priority) {
@@ -226,8 +235,13 @@
 		tokens := float64(max(request.PromptTokens-e.prefixes.saved(request.Prefixes), 1))
 		finish := e.backlog(now, priority) + time.Duration(tokens/e.tokensPerSecond()*float64(time.Second))
 		firstToken := finish + transfer + p.firstStep(request.Rank)
-		if best.prefill == nil || firstToken < best.firstToken {
+		rating := firstToken
+		if e.endpoint.AvailabilityZone != decode.endpoint.AvailabilityZone {
+			rating += localTime
+		}
+		if best.prefill == nil || rating < bestRating {
 			best = placement{prefill: e, decode: decode, tokens: tokens, bytes: bytes, firstToken: firstToken}
+			bestRating = rating
 		}
 	}
 	return best, best.prefill != nil
