--- a/pkg/daemon/orders.go
+++ b/pkg/daemon/orders.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/store"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 	"github.com/turmerictide/turmerictide/platform"
@@ -57,7 +59,7 @@
 func (o *orders) move(service string, move dispatch.Move) error {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	fencing, err := o.takeLease(ctx, service)
+	fencing, err := o.takeLease(ctx, service, move)
 	if err != nil {
 		return errors.Newf("take lease: %w", err)
 	}
@@ -67,8 +69,16 @@
 	return nil
 }
 
+// wireMove tells the other daemons which engine changes its role.
+type wireMove struct {
+	_        struct{} `cbor:",toarray"`
+	Host     string
+	Endpoint string
+	Role     string
+}
+
 // takeLease returns the revision at which the lease was taken, which only grows.
-func (o *orders) takeLease(ctx context.Context, service string) (store.Revision, error) {
+func (o *orders) takeLease(ctx context.Context, service string, move dispatch.Move) (store.Revision, error) {
 	now := o.now()
 	o.mu.Lock()
 	held, ok := o.held[service]
@@ -80,10 +90,14 @@
 	if err != nil {
 		return 0, err
 	}
+	value, err := link.Encode(wireMove{Host: o.host, Endpoint: move.Endpoint.Name, Role: string(move.Role)})
+	if err != nil {
+		return 0, err
+	}
 	key := orderKeyPrefix + service
 	result, err := o.store.Commit(ctx, store.Commit{
 		Compares: []store.Compare{{Key: key}},
-		Puts:     []store.Put{{Key: key, Value: []byte(o.host), Lease: lease}},
+		Puts:     []store.Put{{Key: key, Value: value, Lease: lease}},
 	})
 	if err != nil {
 		return 0, err
@@ -116,6 +130,30 @@
 	}()
 }
 
+// movesChanged closes the engines that change their role by the order of any
+// daemon, as long as the lease of the order lasts.
+func (d *PlatformDaemon) movesChanged(content store.Content) {
+	state := d.directory.Current()
+	if state == nil {
+		return
+	}
+	moving := map[string]bool{}
+	for key, entry := range content.Entries {
+		if !strings.HasPrefix(key, orderKeyPrefix) {
+			continue
+		}
+		var wire wireMove
+		if err := link.Decode(entry.Value, &wire); err != nil {
+			d.log.Info("move of an engine cannot be read", "key", key, "error", err.Error())
+			continue
+		}
+		if e, ok := state.Endpoints[wire.Endpoint]; ok && e.Role != ticket.Role(wire.Role) && wire.Host != d.self.Host {
+			moving[wire.Endpoint] = true
+		}
+	}
+	d.dispatcher.SetMoving(moving)
+}
+
 // rolePeriod spaces the looks at whether an engine has changed its role.
 const rolePeriod = 200 * time.Millisecond
 
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -148,6 +148,7 @@
 func (d *PlatformDaemon) storeChanged(content store.Content) {
 	d.members.AddSeeds(d.registration.Update(content))
 	d.directory.Update(content)
+	d.movesChanged(content)
 }
 
 // stateChanged puts a new state in force in all roles.
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -79,6 +80,8 @@
 	// word and by the platform's.
 	reportedLeaving map[string]bool
 	listedLeaving   map[string]bool
+	// moving are the engines that change their role by another daemon's order.
+	moving map[string]bool
 	// unreadable counts the failed readings of endpoints' reports in a row.
 	unreadable map[string]int
 	// heard is the time of the first message from each life of a front.
@@ -211,7 +214,7 @@
 		result := append([]ticket.Endpoint(nil), endpoints...)
 		for i := range result {
 			name := result[i].Name
-			closed := d.reportedLeaving[name] || d.listedLeaving[name] || d.unreadable[name] >= unreadableLimit
+			closed := d.reportedLeaving[name] || d.listedLeaving[name] || d.moving[name] || d.unreadable[name] >= unreadableLimit
 			result[i].Leaving = result[i].Leaving || closed
 		}
 		return result
@@ -264,6 +267,17 @@
 	d.applyLeaving()
 }
 
+// SetMoving replaces the engines that change their role by another daemon's order.
+func (d *Dispatcher) SetMoving(moving map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if maps.Equal(d.moving, moving) {
+		return
+	}
+	d.moving = moving
+	d.applyLeaving()
+}
+
 // applyLeaving updates all owned shards. The caller holds the lock.
 func (d *Dispatcher) applyLeaving() {
 	for _, o := range d.owned {
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -204,7 +204,7 @@
 	// localShare is how much fuller an endpoint in the front's own availability
 	// zone may be and still be chosen: its streams survive a cut between zones, and
 	// it costs no traffic between them.
-	localShare = 0.25
+	localShare = 0.6
 	// localTime is how much later a prefill endpoint in the decode endpoint's zone
 	// may finish and still be chosen, since transfers between zones take longer and
 	// can be cut.
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -237,7 +237,9 @@
 	if outcome.FailedEndpoint == "" {
 		return
 	}
-	if h.prefill != nil && outcome.FailedEndpoint == h.prefill.endpoint.Name && !outcome.Busy {
+	if h.prefill != nil && outcome.FailedEndpoint == h.prefill.endpoint.Name {
+		// A prefill endpoint that refuses is changing its role or leaving, since it
+		// is never full by this account.
 		h.prefill.health.fail(now)
 	}
 	if outcome.FailedEndpoint != h.decode.endpoint.Name {
