Ask leaving daemons as well for the places that they hold

Cause: a daemon that drains still serves its streams, but a new owner asked only the daemons that may own shards, and overfilled the engines.

--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -87,7 +87,7 @@
 	p.dispatcher = dispatch.NewDispatcher(dispatch.DispatcherConfig{
 		Host: p.self.Host, AvailabilityZone: p.self.AvailabilityZone,
 		Mesh: p.mesh, Now: now, Log: log.WithName("dispatch"),
-		Hosts: p.members.Hosts, FrontLife: p.frontLife, ZoneOf: p.zoneOf,
+		Hosts: p.members.Hosts, Fronts: p.members.Serving, FrontLife: p.frontLife, ZoneOf: p.zoneOf,
 		CancelHold: n.cancelHold, SpreadPressure: p.spreadPressure, MoveEngine: n.moveEngine,
 	})
 	p.client = dispatch.NewClient(dispatch.ClientConfig{
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	Log              logr.Logger
 	// Hosts returns the live daemons of a zone, or all for "".
 	Hosts func(zone string) []string
+	// Fronts returns all daemons that may hold places, also those that leave.
+	Fronts func() []string
 	// FrontLife tells whether the life of a front that made a request
 	// identifier goes on. The host is "" when only the identifier is known;
 	// heard is the time at which this daemon first heard of the life.
@@ -307,7 +309,7 @@
 	o.rebuildUntil = now.Add(rebuildTimeout)
 	o.awaited = map[string]bool{}
 	o.lastAudit = now
-	for _, host := range d.config.Hosts("") {
+	for _, host := range d.config.Fronts() {
 		o.awaited[host] = true
 		d.publish(host, kindReport, o.id, wireIDs{})
 	}
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -210,7 +210,7 @@
 // askFront asks every front whether it holds a request; only its own front
 // answers with the hold or disowns it.
 func (d *Dispatcher) askFront(o *ownedShard, id RequestID) {
-	for _, host := range d.config.Hosts("") {
+	for _, host := range d.config.Fronts() {
 		d.publish(host, kindAudit, o.id, wireIDs{IDs: []RequestID{id}})
 	}
 }
--- a/pkg/member/service.go
+++ b/pkg/member/service.go
@@ -289,6 +289,19 @@
 	return result
 }
 
+// Serving returns the hosts that may still serve requests: all that are not dead.
+func (s *Service) Serving() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var result []string
+	for host, known := range s.table.members {
+		if known.State != StateDead {
+			result = append(result, host)
+		}
+	}
+	return result
+}
+
 // Leave tells all daemons that this one takes on no more roles.
 func (s *Service) Leave() {
 	s.mu.Lock()
