Ask fronts that an owner learns of later for the places that they hold

Cause: a daemon that has just started owns a shard before it knows the other daemons, and overfilled the engines for seconds.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -102,7 +102,9 @@
 	// have reported; awaited are those that have not.
 	rebuildUntil time.Time
 	awaited      map[string]bool
-	offers       []Request
+	// asked are the fronts that were asked for what they hold.
+	asked  map[string]bool
+	offers []Request
 	// standInUntil is set while another daemon is the owner.
 	standInUntil time.Time
 	lastAudit    time.Time
@@ -206,6 +208,10 @@
 	if !d.isOwner(s.Key) && o.standInUntil.IsZero() {
 		o.standInUntil = now.Add(standInTime)
 	}
+	// A daemon that has just started owns shards before it knows all fronts.
+	for _, host := range d.config.Fronts() {
+		d.ask(o, host)
+	}
 	d.loseFronts(o)
 	d.send(o, o.planner.Tick(now, d.decisions[:0]))
 }
@@ -309,10 +315,20 @@
 	o.rebuildUntil = now.Add(rebuildTimeout)
 	o.awaited = map[string]bool{}
 	o.lastAudit = now
+	o.asked = map[string]bool{}
 	for _, host := range d.config.Fronts() {
 		o.awaited[host] = true
-		d.publish(host, kindReport, o.id, wireIDs{})
+		d.ask(o, host)
+	}
+}
+
+// ask asks a front once for what it holds in a shard. The caller holds the lock.
+func (d *Dispatcher) ask(o *ownedShard, host string) {
+	if o.asked[host] {
+		return
 	}
+	o.asked[host] = true
+	d.publish(host, kindReport, o.id, wireIDs{})
 }
 
 func (o *ownedShard) isRebuilding(now time.Time) bool {
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -87,6 +87,7 @@
 		return
 	}
 	request := decodeRequest(wire, link.Host(m), now)
+	d.ask(o, request.Front)
 	request.Zone = d.config.ZoneOf(request.Front)
 	d.hear(now, request.ID)
 	_, span := tracer.Start(trace.ContextWithRemoteSpanContext(context.Background(), link.Span(m)), "dispatch offer",
@@ -155,10 +156,11 @@
 	}
 	o.dropOffer(wire.ID)
 	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: busy}
+	granted := o.planner.loadAtGrant(wire.ID)
 	d.send(o, o.planner.Done(now, wire.ID, outcome, d.decisions[:0]))
 	if outcome.FailedEndpoint != "" {
 		load := o.planner.Load(now)
-		d.config.Log.Info("endpoint has failed a request", "endpoint", outcome.FailedEndpoint, "request", wire.ID.String(), "busy", busy,
+		d.config.Log.Info("endpoint has failed a request", "endpoint", outcome.FailedEndpoint, "request", wire.ID.String(), "busy", busy, "load_at_grant", granted,
 			"paused_ms", o.planner.paused(now, outcome.FailedEndpoint).Milliseconds(), "open_decode", load.OpenDecode, "open_prefill", load.OpenPrefill)
 	}
 }
--- a/pkg/dispatch/planner_report.go
+++ b/pkg/dispatch/planner_report.go
@@ -58,6 +58,15 @@
 	return load
 }
 
+// loadAtGrant returns the predicted load of the decode endpoint of a granted
+// request, when it was granted.
+func (p *Planner) loadAtGrant(id RequestID) float64 {
+	if h, ok := p.holds[id]; ok {
+		return h.load
+	}
+	return 0
+}
+
 // paused returns how much longer an endpoint takes no work because of failures.
 func (p *Planner) paused(now time.Time, endpoint string) time.Duration {
 	for _, e := range p.prefill {
