Resume streams where that holds up fewest others

Cause: a decode endpoint that computes a prompt holds up the tokens of everything that it runs by a quarter of a second; two at once made all of its streams late. Change: one prompt at a time on an endpoint, the one that runs least; when the endpoint that broke off has ended, which a new connection shows, a prefill endpoint computes the prompt instead, and only then the request is suspected.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -134,6 +134,18 @@
 	return nil, errors.Newf("await response: %w", errors.Mark(err, ErrBroken))
 }
 
+// Reach opens a connection to an address and keeps it for later exchanges. It
+// fails when the address takes none.
+func (p *Pool) Reach(ctx context.Context, address netip.AddrPort) error {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.usableUntil = p.Now().Add(defaultIdleTimeout)
+	p.keep(c)
+	return nil
+}
+
 // take returns a sound kept connection or a new one.
 func (p *Pool) take(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	now := p.Now()
@@ -147,6 +159,11 @@
 		}
 		c.close()
 	}
+	return p.connect(ctx, address)
+}
+
+// connect opens one connection within the limit of the address.
+func (p *Pool) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	p.mu.Lock()
 	if limit := p.Limit(address); p.open[address] >= limit {
 		p.mu.Unlock()
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -55,10 +55,18 @@
 	// DecodeOnly asks for a decode place alone: the KV cache is there already, or
 	// the decode endpoint computes it.
 	DecodeOnly bool
+	// Cached is true when a KV cache waits to be fetched, so that a decode endpoint
+	// need not compute the prompt.
+	Cached bool
 	// Zone is the availability zone of the front, whose endpoints are preferred.
 	Zone string
 }
 
+// computesPrompt reports whether a decode endpoint is to compute the prompt.
+func (r Request) computesPrompt() bool {
+	return r.DecodeOnly && !r.Cached
+}
+
 // FencingNumber orders the grants of one shard across its owners.
 type FencingNumber uint64
 
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -107,7 +107,7 @@
 	choice.decode.health.grant()
 	if choice.prefill == nil {
 		h.stage = StageDecode
-		if p.service.Kind == ticket.KindModel && !w.request.DecodeOnly {
+		if p.service.Kind == ticket.KindModel && !w.request.Cached {
 			h.isPrompt = true
 			choice.decode.prompts++
 		}
@@ -185,12 +185,17 @@
 	var best *decodeEndpoint
 	bestShare := 0.0
 	for _, e := range p.decode {
-		barred := (e.savedFor != nil && e.savedFor != w) || (w.request.Suspect && e.suspects > 0)
+		barred := (e.savedFor != nil && e.savedFor != w) || (w.request.Suspect && e.suspects > 0) ||
+			(w.request.computesPrompt() && e.prompts > 0)
 		if barred || e.free() <= 0 || !e.isOpen(now) || !p.fits(now, e, w.request) || e.endpoint.Name == w.request.Exclude {
 			continue
 		}
 		share := p.freeShare(now, e, w.request)
-		if isLocal(e.endpoint, w.request) {
+		switch {
+		case w.request.computesPrompt():
+			// The prompt holds up the tokens of all that the endpoint runs.
+			share = -float64(e.used)
+		case isLocal(e.endpoint, w.request):
 			share += localShare
 		}
 		if best == nil || share > bestShare {
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -94,6 +94,7 @@
 const (
 	flagSuspect requestFlags = 1 << iota
 	flagDecodeOnly
+	flagCached
 )
 
 func flagsOf(r Request) requestFlags {
@@ -104,6 +105,9 @@
 	if r.DecodeOnly {
 		flags |= flagDecodeOnly
 	}
+	if r.Cached {
+		flags |= flagCached
+	}
 	return flags
 }
 
@@ -183,6 +187,7 @@
 		Arrival:      now.Add(-time.Duration(max(w.AgeMilliseconds, 0)) * time.Millisecond),
 		Suspect:      w.Flags&flagSuspect != 0,
 		DecodeOnly:   w.Flags&flagDecodeOnly != 0,
+		Cached:       w.Flags&flagCached != 0,
 	}
 	if w.Rare != nil {
 		r.Exclude = w.Rare.Exclude
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -51,6 +51,9 @@
 	// handle is a KV cache that no endpoint has fetched yet, until handleUntil.
 	handle      Handle
 	handleUntil time.Time
+	// spent counts the runs and further prefills that count as attempts: those at
+	// endpoints that have ended or are cut off do not.
+	spent int
 	// refusals counts the decode endpoints that refused the request.
 	refusals int
 	// exclude names the endpoint that has just failed.
@@ -101,7 +104,7 @@
 	if errors.IsAny(err, errNotRun, connection.ErrNotSent) && !j.mayHaveRun {
 		return true
 	}
-	return (j.route.Resumable || !j.mayHaveRun) && j.runs < j.route.MaxAttempts
+	return (j.route.Resumable || !j.mayHaveRun) && m.spent < j.route.MaxAttempts
 }
 
 // attempt acquires places, uses them and gives them back.
@@ -120,6 +123,7 @@
 		Arrival: j.call.Arrival, Exclude: m.exclude, Suspect: verdict == poison.VerdictSuspect,
 		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone,
 	}
+	request.Cached = m.handle.ID != ""
 	if j.sends > 0 {
 		// A repeated request is late through no fault of its caller, so it starts anew.
 		request.Arrival = now
@@ -146,7 +150,7 @@
 		return true
 	}
 	m.free()
-	return m.job.prefills > 0 && m.job.runs+m.job.prefills >= m.job.route.MaxAttempts
+	return m.job.prefills > 0 && m.spent+2 > m.job.route.MaxAttempts
 }
 
 // acquire waits for places, at most as long as the target allows.
@@ -238,7 +242,7 @@
 		return failed, errors.Newf("prefill: %w", err)
 	}
 	if j.prefills > 0 {
-		j.runs++
+		m.spent++
 	}
 	j.prefills++
 	m.handle = handle
@@ -272,7 +276,7 @@
 		if !errors.Is(err, connection.ErrNotSent) {
 			m.handle = Handle{}
 			m.noteRun()
-			m.noteCrash(ctx, endpoint, suspect)
+			m.noteBreak(ctx, endpoint, suspect)
 		}
 		return failed, errors.Newf("decode: %w", err)
 	}
@@ -299,7 +303,7 @@
 	if cause := context.Cause(sending); errors.Is(cause, errSilent) {
 		err = errors.Newf("after a silence: %w", errors.Mark(err, errSilent))
 	} else {
-		m.noteCrash(ctx, endpoint, suspect)
+		m.noteBreak(ctx, endpoint, suspect)
 	}
 	outcome.FailedEndpoint = endpoint.Name
 	return outcome, err
@@ -309,6 +313,7 @@
 func (m *modelRun) noteRun() {
 	m.job.mayHaveRun = true
 	m.job.runs++
+	m.spent++
 }
 
 // free tells the endpoint that holds an unused KV cache to drop it.
@@ -328,16 +333,20 @@
 	}()
 }
 
-// noteCrash suspects the request when the endpoint that ran it takes no
-// connections any more.
-func (m *modelRun) noteCrash(ctx context.Context, endpoint directory.Endpoint, suspect bool) {
+// noteBreak looks at an endpoint that broke off. When it takes no connections any
+// more it has ended, and the request that it ran is suspected.
+func (m *modelRun) noteBreak(ctx context.Context, endpoint directory.Endpoint, suspect bool) {
 	if ctx.Err() != nil {
 		return
 	}
 	r := m.relay
+	if err := r.config.Endpoints.Reach(ctx, endpoint); err == nil {
+		return
+	}
+	m.spent--
 	mark := r.config.Poison.Crash(r.config.Now(), m.fingerprint, endpoint.Name, suspect)
 	r.config.SpreadMark(mark)
-	r.config.Log.Info("request ran on an endpoint that broke off", "request_id", m.job.call.ID, "endpoint", endpoint.Name, "verdict", mark.Verdict)
+	r.config.Log.Info("request ran on an endpoint that has ended", "request_id", m.job.call.ID, "endpoint", endpoint.Name, "verdict", mark.Verdict)
 }
 
 // clearSuspicion lifts a suspicion of a request that has ended well.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -111,6 +111,8 @@
 	// Prefill sends a call for its KV cache. The Reply is set when the endpoint
 	// answered anything but a handle.
 	Prefill func(ctx context.Context, endpoint directory.Endpoint, call *Call, order Order) (Handle, *Reply, error)
+	// Reach fails when an endpoint takes no connections.
+	Reach func(ctx context.Context, endpoint directory.Endpoint) error
 	// Free tells an endpoint that a KV cache will not be fetched.
 	Free func(ctx context.Context, handle Handle) error
 }
