--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -33,7 +33,9 @@
 type PlatformDaemon struct {
 	*peers
 
-	path         string
+	file         settingsFile
+	reloading    sync.Mutex
+	reloads      chan struct{}
 	mirror       *store.Mirror
 	registration *member.Registration
 	directory    *directory.Directory
@@ -54,7 +56,9 @@
 // NewPlatformDaemon returns a PlatformDaemon that is ready to run. Its settings
 // were read from the file at path.
 func NewPlatformDaemon(path string, s settings.Settings, log logr.Logger, now func() time.Time) (*PlatformDaemon, error) {
-	d := &PlatformDaemon{path: path, reading: make(chan struct{}, 1), done: make(chan struct{})}
+	d := &PlatformDaemon{
+		file: settingsFile{path: path}, reading: make(chan struct{}, 1), reloads: make(chan struct{}, 1), done: make(chan struct{}),
+	}
 	shared, err := newPeers(s, log, now, news{
 		number:      func() ticket.Number { return d.directory.Number() },
 		numberHeard: d.numberHeard, membersChanged: d.membersChanged, cancelHold: d.cancelHold,
@@ -220,9 +224,14 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-d.reloads:
+			d.reload()
 		case <-ticker.C:
 		}
 		now := d.now()
+		if d.file.hasChanged(now) {
+			d.reload()
+		}
 		d.pool.Sweep(now)
 		d.directory.Tick(now)
 		if state := d.directory.Current(); state != nil && state.Config.Limits.IdleTimeout > 0 {
@@ -265,6 +274,12 @@
 		case signal := <-signals:
 			stopping = signal != syscall.SIGHUP
 		}
+		if !stopping {
+			select {
+			case d.reloads <- struct{}{}:
+			default:
+			}
+		}
 	}
 	err := d.shutDown(signals)
 	cancel()
--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -72,7 +72,7 @@
 	d.draining.Store(true)
 	d.members.Leave()
 	d.log.Info("daemon drains", "serving", d.relay.Serving())
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.ShutdownTimeout-lastWords)
+	ctx, cancel := context.WithTimeout(context.Background(), d.shutdownTimeout()-lastWords)
 	defer cancel()
 	select {
 	case <-signals:
@@ -103,7 +103,7 @@
 
 // awaitStreams returns when no stream is in flight, or shortly before ctx ends.
 func (d *PlatformDaemon) awaitStreams(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, max(d.settings.Limits.ShutdownTimeout-balancerNotice-lastWords-plainWords, 0))
+	ctx, cancel := context.WithTimeout(ctx, max(d.shutdownTimeout()-balancerNotice-lastWords-plainWords, 0))
 	defer cancel()
 	ticker := time.NewTicker(streamsPeriod)
 	defer ticker.Stop()
--- a/pkg/link/mesh.go
+++ b/pkg/link/mesh.go
@@ -58,6 +58,9 @@
 	done     chan struct{}
 	client   *http.Client
 
+	// closed guards done: each handler of the router closes its subscriber.
+	closed sync.Once
+
 	mu    sync.Mutex
 	peers map[string]*peer
 	wait  sync.WaitGroup
@@ -198,11 +201,7 @@
 func (m *Mesh) Close() error {
 	m.cancel()
 	m.wait.Wait()
-	select {
-	case <-m.done:
-	default:
-		close(m.done)
-	}
+	m.closed.Do(func() { close(m.done) })
 	return nil
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -189,6 +189,16 @@
 	r.refusing.Store(true)
 }
 
+// SetBudget changes the retry budget of all services.
+func (r *Relay) SetBudget(budget BudgetSettings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config.Budget = budget
+	for _, b := range r.budgets {
+		b.SetShare(budgetMargin * budget.Share)
+	}
+}
+
 // Refresh forgets endpoints that are gone.
 func (r *Relay) Refresh(state *directory.State) {
 	names := make(map[string]bool, len(state.Endpoints))
@@ -310,15 +320,16 @@
 
 // budget returns the retry budget of a service.
 func (r *Relay) budget(service string) *retry.Budget {
-	share := budgetMargin * float64(r.config.Budget.Slack) / float64(max(r.config.Daemons(), 1))
+	daemons := float64(max(r.config.Daemons(), 1))
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	burst := budgetMargin * float64(r.config.Budget.Slack) / daemons
 	b, ok := r.budgets[service]
 	if !ok {
 		b = retry.NewBudget(budgetMargin * r.config.Budget.Share)
 		r.budgets[service] = b
 	}
-	b.SetBurst(share)
+	b.SetBurst(burst)
 	return b
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strings"
 	"time"
 )
@@ -116,6 +117,11 @@
 	Target string
 }
 
+// Equal reports whether two settings are the same.
+func (s Settings) Equal(other Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
+
 // Fault is one thing wrong with a settings file.
 type Fault struct {
 	Section string
--- /dev/null
+++ b/pkg/store/mirror_test.go
@@ -0,0 +1,120 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+// source is a store whose answers a test sets one by one.
+type source struct {
+	listing store.Listing
+	lists   int
+	polls   chan poll
+}
+
+type poll struct {
+	changes store.Changes
+	err     error
+}
+
+func (s *source) store() *store.Store {
+	return &store.Store{
+		List: func(context.Context, string) (store.Listing, error) {
+			s.lists++
+			return s.listing, nil
+		},
+		Poll: func(ctx context.Context, _ string, _ store.Revision, wait time.Duration) (store.Changes, error) {
+			select {
+			case answer := <-s.polls:
+				return answer.changes, answer.err
+			case <-ctx.Done():
+				return store.Changes{}, ctx.Err()
+			case <-time.After(wait):
+				return store.Changes{}, nil
+			}
+		},
+	}
+}
+
+func entry(key, value string, revision store.Revision) store.Entry {
+	return store.Entry{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// follow runs a mirror of a source while a test changes the source.
+func follow(t *testing.T, s *source, test func(m *store.Mirror)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s.polls = make(chan poll)
+		ctx, cancel := context.WithCancel(t.Context())
+		m := store.NewMirror(s.store(), "", nil, time.Now, logr.Discard())
+		go func() { _ = m.Serve(ctx) }()
+		synctest.Wait()
+		test(m)
+		cancel()
+		<-m.Done()
+	})
+}
+
+func values(m *store.Mirror) map[string]string {
+	result := map[string]string{}
+	for key, e := range m.Content().Entries {
+		result[key] = string(e.Value)
+	}
+	return result
+}
+
+func TestMirrorFollowsChanges(t *testing.T) {
+	s := &source{listing: store.Listing{Entries: []store.Entry{entry("a", "1", 5), entry("b", "1", 6)}, Revision: 6}}
+	follow(t, s, func(m *store.Mirror) {
+		s.polls <- poll{changes: store.Changes{Revision: 8, Events: []store.Event{
+			{Entry: entry("a", "2", 7)}, {Entry: entry("b", "", 8), Deleted: true},
+		}}}
+		synctest.Wait()
+		require.Equal(t, map[string]string{"a": "2"}, values(m))
+	})
+}
+
+func TestMirrorNeverGoesBack(t *testing.T) {
+	s := &source{listing: store.Listing{Entries: []store.Entry{entry("a", "new", 9)}, Revision: 9}}
+	follow(t, s, func(m *store.Mirror) {
+		m.Adopt([]store.Entry{entry("a", "old", 4)})
+		s.polls <- poll{changes: store.Changes{Revision: 9, Events: []store.Event{{Entry: entry("a", "older", 3)}}}}
+		synctest.Wait()
+		require.Equal(t, map[string]string{"a": "new"}, values(m))
+		s.polls <- poll{changes: store.Changes{Revision: 10, Events: []store.Event{{Entry: entry("a", "", 10), Deleted: true}}}}
+		synctest.Wait()
+		m.Adopt([]store.Entry{entry("a", "new", 9)})
+		require.Empty(t, values(m), "a removed entry does not return from a peer that is behind")
+	})
+}
+
+func TestMirrorListsAgainWhenHistoryIsLost(t *testing.T) {
+	s := &source{listing: store.Listing{Entries: []store.Entry{entry("a", "1", 5), entry("b", "1", 5)}, Revision: 6}}
+	follow(t, s, func(m *store.Mirror) {
+		s.listing = store.Listing{Entries: []store.Entry{entry("a", "2", 20)}, Revision: 30}
+		s.polls <- poll{err: errors.Mark(errors.New("gone"), store.ErrHistoryLost)}
+		synctest.Wait()
+		require.Equal(t, map[string]string{"a": "2"}, values(m))
+		require.Equal(t, 2, s.lists)
+	})
+}
+
+func TestMirrorKeepsItsEntriesWhileTheStoreIsAway(t *testing.T) {
+	s := &source{listing: store.Listing{Entries: []store.Entry{entry("a", "1", 5)}, Revision: 6}}
+	follow(t, s, func(m *store.Mirror) {
+		for range 5 {
+			s.polls <- poll{err: errors.New("store is down")}
+		}
+		require.Equal(t, map[string]string{"a": "1"}, values(m))
+		require.False(t, m.Content().Troubled.IsZero())
+		require.Equal(t, 1, s.lists)
+	})
+}
