--- a/pkg/connection/pool_test.go
+++ b/pkg/connection/pool_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,11 +100,11 @@
 }
 
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
-	reset := false
+	var reset atomic.Bool
 	address, _ := serve(t, func(_ *testing.T, conn net.Conn, r *http.Request, _ int) bool {
 		_, _ = io.Copy(io.Discard, r.Body)
 		say(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nok")
-		if reset {
+		if reset.Load() {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -111,7 +112,7 @@
 	})
 	pool := newPool(4)
 	requireExchange(t, pool, address, "1")
-	reset = true
+	reset.Store(true)
 	_, err := exchange(t, pool, address, "1")
 	requireIs(t, err, connection.ErrBroken)
 }
