--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -20,6 +20,9 @@
 	firstStep = 90 * time.Millisecond
 	// tokenTime is the time for one output token of a large model at a busy batch.
 	tokenTime = 900 * time.Microsecond
+	// longestPause bounds the pause of an engine that failed: the platform removes
+	// those that are lost after three heartbeats.
+	longestPause = 3 * time.Second
 	// floorShare is the part of granted work that each less urgent rank keeps.
 	floorShare = 0.05
 )
@@ -70,7 +73,7 @@
 	result := ticket.Service{
 		Name: service.Name, Kind: ticket.KindModel,
 		KVBytesPerToken: service.Engine.BytesPerToken, PieceTokens: pieceTokens,
-		AllZones: true, MemoryGrows: true, DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep), TokenTime: ticket.Duration(tokenTime),
+		AllZones: true, MemoryGrows: true, LongestPause: ticket.Duration(longestPause), DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep), TokenTime: ticket.Duration(tokenTime),
 	}
 	for i, priority := range Priorities(state, service.Name) {
 		target, gap := targetsOf(state, service.Name, priority)
--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -9,7 +9,7 @@
 const (
 	// firstCooldown is the pause after one failure; it doubles with each more.
 	firstCooldown = 500 * time.Millisecond
-	maxCooldown   = 3 * time.Second
+	maxCooldown   = 30 * time.Second
 	// limitPeriod spaces changes of an endpoint's limit.
 	limitPeriod = time.Second
 	// limitDecrease is the factor for an endpoint whose token gap is over target.
@@ -27,6 +27,8 @@
 	failures  int
 	coolUntil time.Time
 	failedAt  time.Time
+	// longest bounds the pause where it is not maxCooldown.
+	longest time.Duration
 	// probing is true while the one request is granted that finds out whether
 	// the endpoint works again.
 	probing bool
@@ -37,13 +39,19 @@
 	return !now.Before(h.coolUntil) && !h.probing
 }
 
-// fail closes the endpoint for a pause. Requests that fail together count once.
+// fail closes the endpoint for a pause. Where lost endpoints are removed soon,
+// requests that fail together count once, so that one that has only broken its
+// connections is back early; elsewhere they make the first pause long.
 func (h *health) fail(now time.Time) {
-	if now.Before(h.coolUntil) && now.Sub(h.failedAt) < firstCooldown {
+	if h.longest > 0 && now.Before(h.coolUntil) && now.Sub(h.failedAt) < firstCooldown {
 		return
 	}
 	h.failedAt = now
-	pause := min(firstCooldown<<min(h.failures, 10), maxCooldown)
+	longest := maxCooldown
+	if h.longest > 0 {
+		longest = h.longest
+	}
+	pause := min(firstCooldown<<min(h.failures, 10), longest)
 	h.failures++
 	h.coolUntil = now.Add(pause)
 }
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -88,6 +88,9 @@
 	// MemoryGrows is true when engines take memory for output as it is made, and
 	// not when a request begins.
 	MemoryGrows bool `json:"memory_grows,omitempty"`
+	// LongestPause bounds the time for which an endpoint that failed gets no work,
+	// for services whose lost endpoints are removed from the state soon.
+	LongestPause Duration `json:"longest_pause,omitempty"`
 	// TokenTime is the usual time for one output token, when it is far below the
 	// token gap's target.
 	TokenTime Duration `json:"token_time,omitempty"`
