--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -174,7 +173,7 @@
 	case ctx.Err() != nil:
 		return nil, context.Cause(ctx)
 	case errors.As(err, &refused):
-		r.config.Log.Info("request is refused", "request_id", j.call.ID, "cause", refused.Refusal.Cause,
+		r.config.Log.Info("request is refused", "request_id", j.call.ID, "request", refused.Refusal.ID.String(), "cause", refused.Refusal.Cause,
 			"rank", request.Rank, "prompt_tokens", request.PromptTokens, "retry_after_ms", refused.Refusal.RetryAfter.Milliseconds(),
 			"waited_ms", r.config.Now().Sub(request.Arrival).Milliseconds())
 		cause := CauseTooLate
@@ -373,5 +372,3 @@
 	}
 	return 0, false
 }
-
-var _ = http.StatusOK
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -22,9 +22,6 @@
 // errSilent ends a sending whose stream has fallen silent.
 var errSilent = errors.New("stream is silent")
 
-// errEventOrder reports events that do not follow on what was passed on.
-var errEventOrder = errors.New("events are out of order")
-
 // stream is the progress of one streamed answer across its endpoints.
 type stream struct {
 	job *job
@@ -70,9 +67,6 @@
 	if e.hasID && e.id <= s.last {
 		return nil
 	}
-	if e.hasID && s.events > 0 && s.last != NoEvent && e.id > s.last+1 && !s.follows(e) {
-		return errors.Newf("event %d after %d: %w", e.id, s.last, errors.Mark(errEventOrder, connection.ErrBroken))
-	}
 	answer := s.job.answer
 	if !answer.Started() {
 		answer.start(reply.Status, reply.Header)
@@ -95,12 +89,6 @@
 	return nil
 }
 
-// follows reports whether an event may follow although its number is not the
-// next one: one event may carry several tokens.
-func (s *stream) follows(event) bool {
-	return true
-}
-
 // errCallerWrite reports that the caller takes nothing any more.
 var errCallerWrite = errors.New("caller takes nothing")
 
