Decide alone when the owner grants what is not known here; tests of owners and fronts

Change: the front decides alone then. The tests run a client and a dispatcher over one mesh; each was seen red with its mechanism taken out.

--- a/Makefile
+++ b/Makefile
@@ -11,14 +11,14 @@
 	go run ./internal/demo $(BIN)
 
 lint:
-	@unformatted=$$(go -C tools tool gofumpt -l $(CURDIR)/cmd $(CURDIR)/pkg $(CURDIR)/standin $(CURDIR)/internal $(CURDIR)/bench); \
+	@unformatted=$$(go -C tools tool gofumpt -l $(CURDIR)/cmd $(CURDIR)/pkg $(CURDIR)/standin $(CURDIR)/internal $(CURDIR)/bench $(CURDIR)/platform); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet $(PACKAGES)
 	go -C tools build -o $(CURDIR)/$(BIN)/staticcheck honnef.co/go/tools/cmd/staticcheck
 	$(BIN)/staticcheck $(PACKAGES)
 
 format:
-	go -C tools tool gofumpt -w $(CURDIR)/cmd $(CURDIR)/pkg $(CURDIR)/standin $(CURDIR)/internal $(CURDIR)/bench
+	go -C tools tool gofumpt -w $(CURDIR)/cmd $(CURDIR)/pkg $(CURDIR)/standin $(CURDIR)/internal $(CURDIR)/bench $(CURDIR)/platform
 
 # The measurements run without the race detector: they are in virtual time and in
 # one goroutine each. The seed of the fuzz tests is fixed, so that every run gives
--- a/pkg/dispatch/alone.go
+++ b/pkg/dispatch/alone.go
@@ -20,14 +20,15 @@
 		c.alone[s.id] = planner
 	}
 	planner.SetEndpoints(shareOf(s.shard, c.config.AvailabilityZone, len(c.config.Hosts(c.config.AvailabilityZone)), len(c.config.Hosts(""))))
-	for _, decision := range planner.Offer(now, request, nil) {
-		if !decision.IsGrant() {
-			return nil, &RefusedError{Refusal: decision.Refusal}
-		}
-		return c.holdAlone(planner, s, request, decision.Grant), nil
+	decisions := planner.Offer(now, request, nil)
+	switch {
+	case len(decisions) == 0:
+		planner.Withdraw(request.ID)
+		return nil, &RefusedError{Refusal: planner.refuse(now, request, CauseTooLate).Refusal}
+	case !decisions[0].IsGrant():
+		return nil, &RefusedError{Refusal: decisions[0].Refusal}
 	}
-	planner.Withdraw(request.ID)
-	return nil, &RefusedError{Refusal: planner.refuse(now, request, CauseTooLate).Refusal}
+	return c.holdAlone(planner, s, request, decisions[0].Grant), nil
 }
 
 // holdAlone books a grant of this front's own Planner. The caller holds the lock.
--- /dev/null
+++ b/pkg/dispatch/alone_test.go
@@ -0,0 +1,146 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// siteState returns a service whose engines have the names that are given.
+func siteState(decode ...string) *ticket.State {
+	s := growingLayout(1, 1)
+	s.Service.Name, s.Service.AllZones = "model", true
+	state := &ticket.State{Services: map[string]ticket.Service{"model": s.Service}, Pools: map[string]ticket.Pool{}}
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	prefill := s.Prefill[0]
+	prefill.Address = address
+	state.Pools["prefill"] = ticket.Pool{Service: "model", AvailabilityZone: "a", Role: ticket.RolePrefill, Endpoints: []ticket.Endpoint{prefill}}
+	pool := ticket.Pool{Service: "model", AvailabilityZone: "a", Role: ticket.RoleDecode}
+	for _, name := range decode {
+		endpoint := s.Decode[0]
+		endpoint.Name, endpoint.Address, endpoint.AvailabilityZone = name, address, "a"
+		pool.Endpoints = append(pool.Endpoints, endpoint)
+	}
+	state.Pools["decode"] = pool
+	return state
+}
+
+// newFront returns a client and a dispatcher on one host, which knows the hosts
+// that are given.
+func newFront(t *testing.T, hosts ...string) (*dispatch.Client, *dispatch.Dispatcher) {
+	t.Helper()
+	mesh := link.NewMesh(link.Config{
+		Host: "front", Keys: link.Keys{"secret"}, Topics: []string{dispatch.TopicToOwner, dispatch.TopicToFront},
+		Resolve:     func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		Unreachable: func(string) {}, Now: time.Now, Log: logr.Discard(),
+	})
+	known := func(string) []string { return hosts }
+	client := dispatch.NewClient(dispatch.ClientConfig{
+		Host: "front", AvailabilityZone: "a", FrontTag: 7, Mesh: mesh, Now: time.Now, Log: logr.Discard(), Hosts: known,
+	})
+	dispatcher := dispatch.NewDispatcher(dispatch.DispatcherConfig{
+		Host: "front", AvailabilityZone: "a", Mesh: mesh, Now: time.Now, Log: logr.Discard(), Hosts: known,
+		Fronts:         func() []string { return hosts },
+		FrontLife:      func(uint32, string, time.Time) dispatch.Life { return dispatch.LifeAlive },
+		ZoneOf:         func(string) string { return "a" },
+		CancelHold:     func(_ dispatch.Hold, _ dispatch.FencingNumber, confirmed func()) { go confirmed() },
+		SpreadPressure: func(dispatch.ShardID, dispatch.Pressure) {},
+	})
+	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
+	require.NoError(t, err)
+	client.Route(router)
+	dispatcher.Route(router)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = router.Run(ctx) }()
+	go func() { _ = dispatcher.Serve(ctx) }()
+	go func() { _ = client.Serve(ctx) }()
+	<-router.Running()
+	t.Cleanup(func() {
+		cancel()
+		_ = router.Close()
+		_ = mesh.Close()
+	})
+	return client, dispatcher
+}
+
+func acquire(t *testing.T, client *dispatch.Client) (*dispatch.Reservation, time.Duration, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	start := time.Now()
+	r := longRequest(client.NewRequestID(), start)
+	r.Front, r.Zone = "front", "a"
+	reservation, err := client.Acquire(ctx, "model", r)
+	return reservation, time.Since(start), err
+}
+
+func TestOwnerDecidesWhileItAnswers(t *testing.T) {
+	client, dispatcher := newFront(t, "front")
+	client.Refresh(siteState("one"))
+	dispatcher.Refresh(siteState("one"))
+	reservation, _, err := acquire(t, client)
+	require.NoError(t, err)
+	require.False(t, reservation.IsAlone())
+	reservation.Done(dispatch.Outcome{})
+	require.Eventually(t, func() bool { return dispatcher.Summaries()[0].Load.Held == 0 }, time.Second, time.Millisecond)
+}
+
+// TestFrontDecidesAloneWhenItsOwnerIsSilent replays an owner that is cut off or
+// stands still: the request is placed well within its target of 0.8 s.
+func TestFrontDecidesAloneWhenItsOwnerIsSilent(t *testing.T) {
+	client, _ := newFront(t, "silent")
+	client.Refresh(siteState("one"))
+	reservation, took, err := acquire(t, client)
+	require.NoError(t, err)
+	require.True(t, reservation.IsAlone())
+	require.Less(t, took, 300*time.Millisecond)
+	reservation.Prefilled()
+	reservation.Started()
+	reservation.Done(dispatch.Outcome{OutputTokens: 10})
+	require.Zero(t, client.Open())
+}
+
+// TestFrontAloneKeepsToItsShare replays a burst at a front without an owner, one
+// of two in its zone.
+func TestFrontAloneKeepsToItsShare(t *testing.T) {
+	client, _ := newFront(t, "silent", "other")
+	client.Refresh(siteState("one"))
+	granted := 0
+	for range 12 {
+		reservation, took, err := acquire(t, client)
+		var refused *dispatch.RefusedError
+		if errors.As(err, &refused) {
+			require.Positive(t, refused.Refusal.RetryAfter)
+			require.Less(t, took, 400*time.Millisecond, "nobody waits for what nobody tells")
+			continue
+		}
+		require.NoError(t, err)
+		reservation.Prefilled()
+		reservation.Started()
+		granted++
+	}
+	require.Greater(t, granted, 1)
+	require.LessOrEqual(t, granted, 5, "half of the ten that the engine holds")
+}
+
+// TestOldStateOfTheOwnerStopsNothing replays an owner that the store refuses, and
+// that goes on granting an endpoint which is gone.
+func TestOldStateOfTheOwnerStopsNothing(t *testing.T) {
+	client, dispatcher := newFront(t, "front")
+	dispatcher.Refresh(siteState("gone"))
+	client.Refresh(siteState("new"))
+	reservation, _, err := acquire(t, client)
+	require.NoError(t, err)
+	require.Equal(t, "new", reservation.Decode.Name)
+}
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -45,6 +45,9 @@
 // ErrNoShard reports a service without a shard that can be reached.
 var ErrNoShard = errors.New("no shard of the service can be reached")
 
+// errUnknownEndpoint reports a grant of an endpoint that is not in the state here.
+var errUnknownEndpoint = errors.New("granted endpoint is not known here")
+
 // ClientConfig holds what a Client needs.
 type ClientConfig struct {
 	Host             string
@@ -325,7 +328,13 @@
 			c.withdraw(o)
 			return nil, err
 		case next.isDecided:
-			return c.accept(o, next.decision)
+			reservation, err := c.accept(o, next.decision)
+			if errors.Is(err, errUnknownEndpoint) {
+				// The owner's state is older or newer than the one here.
+				c.config.Log.Info("granted endpoint is not known here", "owner", owner, "shard", s.key.String(), "request", request.ID.String())
+				return c.acquireAlone(s, request)
+			}
+			return reservation, err
 		case next.isSilent:
 			c.withdraw(o)
 			c.mu.Lock()
@@ -390,7 +399,7 @@
 	}
 	if !r.Decode.Address.IsValid() || (wire.Prefill != 0 && !r.Prefill.Address.IsValid()) {
 		c.tellDone(o.shard, o.request.ID, Outcome{})
-		return nil, errors.Newf("a granted endpoint is not known here yet: %w", ErrNoShard)
+		return nil, errUnknownEndpoint
 	}
 	r.Grant = Grant{
 		ID: wire.ID, Front: c.config.Host, Prefill: r.Prefill.Name, Decode: r.Decode.Name,
--- a/pkg/dispatch/rebalance_test.go
+++ b/pkg/dispatch/rebalance_test.go
@@ -44,12 +44,9 @@
 func TestIdlePrefillEngineBecomesADecodeEngine(t *testing.T) {
 	planner := newPlanner(growingLayout(4, 5))
 	moves := serveAll(t, planner, 12, 20*time.Second)
-	require.NotEmpty(t, moves)
+	require.Len(t, moves, 1, "one move within 20 s")
 	require.Equal(t, ticket.RoleDecode, moves[0].Role)
 	require.Greater(t, moves[0].After, moves[0].Before*1.1)
-	for i := 1; i < len(moves); i++ {
-		t.Fatal("moves within 20 s must be one")
-	}
 }
 
 func TestQuietServiceMovesNothing(t *testing.T) {
