--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -161,6 +161,7 @@
 	if outcome.FailedEndpoint != "" {
 		load := o.planner.Load(now)
 		d.config.Log.Info("endpoint has failed a request", "endpoint", outcome.FailedEndpoint, "request", wire.ID.String(), "busy", busy, "load_at_grant", granted,
+			"token_time_us", o.planner.tokenTimeOf(outcome.FailedEndpoint).Microseconds(),
 			"paused_ms", o.planner.paused(now, outcome.FailedEndpoint).Milliseconds(), "open_decode", load.OpenDecode, "open_prefill", load.OpenPrefill)
 	}
 }
--- a/pkg/dispatch/planner_report.go
+++ b/pkg/dispatch/planner_report.go
@@ -67,6 +67,16 @@
 	return 0
 }
 
+// tokenTimeOf returns the time for one output token of a decode endpoint, 0 for
+// others.
+func (p *Planner) tokenTimeOf(endpoint string) time.Duration {
+	e, ok := p.byName[endpoint]
+	if !ok {
+		return 0
+	}
+	return time.Duration(p.tokenTime(e) * float64(time.Second))
+}
+
 // paused returns how much longer an endpoint takes no work because of failures.
 func (p *Planner) paused(now time.Time, endpoint string) time.Duration {
 	for _, e := range p.prefill {
--- /dev/null
+++ b/pkg/dispatch/reservation.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmerictide/turmerictide/pkg/shard"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+// Reservation is a grant in use. Exactly one call of Done ends it.
+type Reservation struct {
+	Grant   Grant
+	Prefill ticket.Endpoint
+	Decode  ticket.Endpoint
+	Shard   shard.Key
+	// GrantedAt is the time at which the grant's message arrived.
+	GrantedAt time.Time
+
+	client  *Client
+	request Request
+	shard   routedShard
+	stage   Stage
+	// startedAt is the time of the first token.
+	startedAt time.Time
+	made      atomic.Int64
+	// alone is the Planner that granted it when no owner did.
+	alone *Planner
+}
+
+// Prefilled tells the dispatcher that the prefill is complete.
+func (r *Reservation) Prefilled() {
+	r.advance(StageTransfer, kindPrefilled)
+}
+
+// Started tells the dispatcher that the decode endpoint produces tokens.
+func (r *Reservation) Started() {
+	r.advance(StageDecode, kindStarted)
+}
+
+func (r *Reservation) advance(stage Stage, kind wireKind) {
+	r.client.mu.Lock()
+	r.stage = stage
+	if stage == StageDecode {
+		r.startedAt = r.client.config.Now()
+	}
+	if r.alone != nil {
+		r.advanceAlone(stage)
+	}
+	r.client.mu.Unlock()
+	if owner := r.client.owner(r.shard); owner != "" {
+		r.client.publish(context.Background(), owner, kind, noShard, r.Grant.ID)
+	}
+}
+
+// Progress notes the output tokens that were made since Started.
+func (r *Reservation) Progress(tokens int) {
+	r.made.Store(int64(tokens))
+}
+
+// Done releases all that the reservation holds.
+func (r *Reservation) Done(outcome Outcome) {
+	r.client.mu.Lock()
+	_, ok := r.client.live[r.Grant.ID]
+	delete(r.client.live, r.Grant.ID)
+	if ok && r.alone != nil {
+		r.alone.Done(r.client.config.Now(), r.Grant.ID, outcome, nil)
+	}
+	r.client.mu.Unlock()
+	if ok {
+		r.client.tellDone(r.shard, r.Grant.ID, outcome)
+	}
+}
+
+// IsStarted reports whether Started was called.
+func (r *Reservation) IsStarted() bool {
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	return r.stage == StageDecode
+}
