--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -162,6 +162,8 @@
 
 // acquire waits for places, at most as long as the target allows.
 func (r *Relay) acquire(ctx context.Context, j *job, request dispatch.Request) (*dispatch.Reservation, error) {
+	ctx, span := startHop(ctx, "relay acquire", "")
+	defer span.End()
 	left := j.route.Target - r.config.Now().Sub(request.Arrival)
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
@@ -215,6 +217,8 @@
 }
 
 func (m *modelRun) prefill(ctx context.Context, reservation *dispatch.Reservation, urgency int) (dispatch.Outcome, error) {
+	ctx, span := startHop(ctx, "relay prefill", reservation.Prefill.Name)
+	defer span.End()
 	r, j := m.relay, m.job
 	failed := dispatch.Outcome{FailedEndpoint: reservation.Prefill.Name}
 	endpoint, err := m.endpointOf(reservation.Prefill)
@@ -259,6 +263,8 @@
 }
 
 func (m *modelRun) decode(ctx context.Context, reservation *dispatch.Reservation, urgency int, suspect bool) (dispatch.Outcome, error) {
+	ctx, span := startHop(ctx, "relay decode", reservation.Decode.Name)
+	defer span.End()
 	r, j := m.relay, m.job
 	failed := dispatch.Outcome{FailedEndpoint: reservation.Decode.Name}
 	endpoint, err := m.endpointOf(reservation.Decode)
@@ -270,15 +276,15 @@
 	if !r.mayArrive(j) {
 		return dispatch.Outcome{}, errNoBudget
 	}
-	watch := time.NewTimer(0)
+	stopWatch := func() bool { return true }
 	if j.route.Resumable {
-		watch = time.AfterFunc(firstSilence+j.route.Target/2, silence(cancel))
+		stopWatch = time.AfterFunc(firstSilence+j.route.Target/2, silence(cancel)).Stop
 	}
 	j.sends++
 	j.endpoint = endpoint.Name
 	order := Order{Source: m.handle, LastEvent: m.stream.last, Urgency: urgency, Left: j.until.Sub(r.config.Now())}
 	reply, err := r.config.Endpoints.Send(sending, endpoint, j.call, order)
-	watch.Stop()
+	stopWatch()
 	if err != nil {
 		if !errors.Is(err, connection.ErrNotSent) {
 			m.handle = Handle{}
@@ -310,6 +316,7 @@
 	if cause := context.Cause(sending); errors.Is(cause, errSilent) {
 		err = errors.Newf("after a silence: %w", errors.Mark(err, errSilent))
 	} else {
+		_ = reply.Body.Close()
 		m.noteBreak(ctx, endpoint, suspect)
 	}
 	outcome.FailedEndpoint = endpoint.Name
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -89,6 +89,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p.pending[endpoint.Name] = cancel
 	go func() {
+		ctx, span := startHop(ctx, "relay send", endpoint.Name)
+		defer span.End()
 		reply, err := r.config.Endpoints.Send(ctx, endpoint, j.call, Order{LastEvent: j.call.LastEvent, Left: j.until.Sub(now)})
 		if err == nil && reply.Status < http.StatusInternalServerError && !reply.NotRun {
 			if err = bufferReply(reply); err != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -22,6 +22,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/turmerictide/turmerictide/pkg/balance"
 	"github.com/turmerictide/turmerictide/pkg/directory"
@@ -241,6 +243,11 @@
 	return true
 }
 
+// startHop starts the span of one hop to an endpoint or a dispatcher.
+func startHop(ctx context.Context, name, endpoint string) (context.Context, trace.Span) {
+	return tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("endpoint", endpoint)))
+}
+
 // Serve answers a call. The error is a *Fault when nothing was answered, and
 // ErrAnswerBroken when an answer that had begun cannot be completed.
 func (r *Relay) Serve(ctx context.Context, call *Call, answer *Answer) error {
