Limit what is sent to a plain endpoint by the time in which it answers

Change: additive increase and multiplicative decrease of what one daemon has under way; the rest is refused at once.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -8,6 +8,9 @@
 //   - endpoints that fail part of their requests while they look healthy: the
 //     measured share of failures counts as load;
 //   - endpoints that are full: a refusal closes an endpoint for a short pause;
+//   - more load than the endpoints can serve: each takes only as many requests as
+//     it answers in good time, so that some are served in time and the others are
+//     refused at once, in place of all being late;
 //   - cuts: an endpoint that cannot be reached is closed for a pause that grows,
 //     then tried with one request at a time.
 package balance
@@ -36,6 +39,16 @@
 	// failureHalfLife is the time in which a share of failures that is not
 	// confirmed halves, so that an endpoint is tried again.
 	failureHalfLife = 2 * time.Second
+	// slowTime is the time from which an answer shows that an endpoint has too many
+	// requests: two thirds of the 300 ms in which the users want plain answers.
+	slowTime = 200 * time.Millisecond
+	// limitDecrease is the factor on an endpoint's limit after a slow answer. A good
+	// one raises it by a whole request in as many answers as the limit.
+	limitDecrease = 0.93
+	// leastLimit is what one daemon may send in any case.
+	leastLimit = 1.0
+	// mostLimit bounds the limit, in places of the endpoint.
+	mostLimit = 3
 	// typicalTime stands for the time of an endpoint that has answered nothing yet.
 	typicalTime = 60 * time.Millisecond
 )
@@ -66,7 +79,10 @@
 )
 
 type record struct {
-	sent        int
+	sent int
+	// limit is the number of requests that may be under way, 0 before an answer.
+	limit       float64
+	places      int
 	seconds     float64
 	failures    float64
 	failureAt   time.Time
@@ -104,7 +120,8 @@
 			continue
 		}
 		r := b.record(c.Name)
-		if now.Before(r.closedUntil) || (r.misses > 0 && r.sent > 0) {
+		r.places = c.Places
+		if now.Before(r.closedUntil) || (r.misses > 0 && r.sent > 0) || r.isFull() {
 			continue
 		}
 		spread := math.Mod(draw+float64(i)*math.Phi, 1) * tieSpread
@@ -128,6 +145,27 @@
 	return load
 }
 
+// isFull reports whether the endpoint has as many requests of this daemon as it
+// answers in good time.
+func (r *record) isFull() bool {
+	return r.limit > 0 && float64(r.sent) >= r.limit
+}
+
+// adapt changes the limit after an answer: additive increase and multiplicative
+// decrease (Chiu and Jain, "Analysis of the Increase and Decrease Algorithms for
+// Congestion Avoidance", 1989).
+func (r *record) adapt(took time.Duration) {
+	most := float64(max(r.places, 1) * mostLimit)
+	if r.limit == 0 {
+		r.limit = most
+	}
+	if took >= slowTime {
+		r.limit = max(r.limit*limitDecrease, leastLimit)
+		return
+	}
+	r.limit = min(r.limit+1/r.limit, most)
+}
+
 func (r *record) failureShare(now time.Time) float64 {
 	return r.failures * math.Exp2(-now.Sub(r.failureAt).Seconds()/failureHalfLife.Seconds())
 }
@@ -145,6 +183,7 @@
 	case Answered:
 		r.misses = 0
 		r.seconds += weight * (took.Seconds() - r.seconds)
+		r.adapt(took)
 		r.fail(now, 0)
 	case Failed:
 		r.fail(now, 1)
--- /dev/null
+++ b/pkg/balance/overload_test.go
@@ -0,0 +1,81 @@
+package balance_test
+
+import (
+	"container/heap"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/pkg/balance"
+)
+
+// answerAt is a request that the server has finished at a time.
+type answerAt struct {
+	at     time.Duration
+	sentAt time.Duration
+	front  int
+}
+
+type answers []answerAt
+
+func (a answers) Len() int           { return len(a) }
+func (a answers) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a answers) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+
+// Push appends an answerAt.
+func (a *answers) Push(x any) { *a = append(*a, x.(answerAt)) }
+
+// Pop removes the last answerAt.
+func (a *answers) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// TestOverloadServesSomeInTimeInsteadOfAllLate replays the loss of two of three
+// servers in a burst: 130 requests a second at a server for 100, from seven
+// daemons that know nothing of each other. It queues 24, so that without a limit
+// every answer takes 300 ms.
+func TestOverloadServesSomeInTimeInsteadOfAllLate(t *testing.T) {
+	const fronts, places, queue, perSecond = 7, 6, 24, 130
+	const work, target, length = 60 * time.Millisecond, 300 * time.Millisecond, 20 * time.Second
+	balancers := make([]*balance.Balancer, fronts)
+	for i := range balancers {
+		balancers[i] = balance.New()
+	}
+	candidates := []balance.Candidate{{Name: "last", Places: places, Local: true}}
+	busy := make([]time.Duration, places)
+	var pending answers
+	offered, inTime := 0, 0
+	for now := time.Duration(0); now < length; now += time.Second / perSecond {
+		for len(pending) > 0 && pending[0].at <= now {
+			done := heap.Pop(&pending).(answerAt)
+			took := done.at - done.sentAt
+			balancers[done.front].Ended(epoch.Add(done.at), "last", balance.Answered, took)
+			if took <= target-10*time.Millisecond {
+				inTime++
+			}
+		}
+		offered++
+		front := offered % fronts
+		b := balancers[front]
+		if b.Choose(epoch.Add(now), candidates, nil, 0) < 0 {
+			continue
+		}
+		b.Sent("last")
+		if len(pending) >= places+queue {
+			b.Ended(epoch.Add(now), "last", balance.Refused, time.Millisecond)
+			continue
+		}
+		first := 0
+		for i := range busy {
+			if busy[i] < busy[first] {
+				first = i
+			}
+		}
+		busy[first] = max(busy[first], now) + work
+		heap.Push(&pending, answerAt{at: busy[first], sentAt: now, front: front})
+	}
+	require.Greater(t, float64(inTime), 0.9*100*length.Seconds(), "nine tenths of what the server can do is in time")
+}
