Refuse a length beside chunks, and answer heads that come too late

Cause: the HTTP library takes a request with both for a chunked one, and closes a connection with a late head without a word; the issue asks for 400 and 408. Change: the callers' listener remembers the head of the present request.

--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/net/netutil"
 
+	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/operator"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
@@ -17,12 +18,14 @@
 
 // listener is an HTTP server as a supervised part.
 type listener struct {
-	name   string
-	at     netip.AddrPort
-	limit  int
-	server *http.Server
-	socket net.Listener
-	done   chan struct{}
+	name  string
+	at    netip.AddrPort
+	limit int
+	// guarded listeners see requests whose head is ambiguous or late.
+	guarded bool
+	server  *http.Server
+	socket  net.Listener
+	done    chan struct{}
 }
 
 func newListener(name string, at netip.AddrPort, limit int, server *http.Server) *listener {
@@ -35,6 +38,9 @@
 		return errors.Newf("open %s listener: %w", l.name, err)
 	}
 	l.socket = netutil.LimitListener(socket, l.limit)
+	if l.guarded {
+		l.socket = connection.Guard(l.socket)
+	}
 	return nil
 }
 
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -123,7 +123,9 @@
 	server := newServer(callers, limits.HeaderBytes)
 	d.idle = &idleConnections{since: map[net.Conn]time.Time{}, now: d.now}
 	server.ConnState = d.idle.note
+	server.ConnContext = connection.GuardContext
 	d.caller = newListener("caller", d.settings.Listen.Caller, limits.Connections, server)
+	d.caller.guarded = true
 	d.ready = newListener("ready", d.settings.Listen.Ready, peerConnections, newServer(http.HandlerFunc(d.serveReady), limits.HeaderBytes))
 	d.metric = newListener("metrics", d.settings.Listen.Metrics, peerConnections, newServer(d.metrics, limits.HeaderBytes))
 	mux := http.NewServeMux()
