Compute ranks once a state, and take out what stands twice or serves nobody

Cause, found in reading the change: each model request copied and sorted all routes to find its rank; the check of a granted endpoint stood beside IsServing; the loop that waits for a signal stood in both daemons; a hook on answers and a count of log lines had no user; an interface repeated io.ReadCloser.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"context"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -143,14 +142,7 @@
 	d.front.SetReady(true)
 	d.log.Info("daemon serves", "host", d.settings.Daemon.Host, "availability_zone", d.settings.Daemon.AvailabilityZone,
 		"caller", d.caller.address(), "operator", d.operator.address(), "peer", d.peer.address())
-	for stopping := false; !stopping; {
-		select {
-		case <-ctx.Done():
-			stopping = true
-		case signal := <-signals:
-			stopping = signal != syscall.SIGHUP
-		}
-	}
+	awaitStop(ctx, signals, func() {})
 	err := d.shutDown(signals)
 	cancel()
 	<-stopped
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -9,7 +9,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -269,20 +268,12 @@
 	stopped := d.supervise().ServeBackground(treeContext)
 	d.log.Info("daemon serves", "caller", d.caller.address(), "ready", d.ready.address(), "peer", d.peer.address(),
 		"store", d.settings.Platform.StoreURLs[0])
-	for stopping := false; !stopping; {
+	awaitStop(ctx, signals, func() {
 		select {
-		case <-ctx.Done():
-			stopping = true
-		case signal := <-signals:
-			stopping = signal != syscall.SIGHUP
-		}
-		if !stopping {
-			select {
-			case d.reloads <- struct{}{}:
-			default:
-			}
+		case d.reloads <- struct{}{}:
+		default:
 		}
-	}
+	})
 	err := d.shutDown(signals)
 	cancel()
 	<-stopped
--- a/pkg/daemon/shutdown.go
+++ b/pkg/daemon/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,22 @@
 	closeGrace = 5 * time.Second
 )
 
+// awaitStop returns when ctx ends or a signal to stop arrives, and calls hangUp for
+// each SIGHUP until then.
+func awaitStop(ctx context.Context, signals <-chan os.Signal, hangUp func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case signal := <-signals:
+			if signal != syscall.SIGHUP {
+				return
+			}
+			hangUp()
+		}
+	}
+}
+
 // ErrCut reports a shutdown that cut requests in flight.
 var ErrCut = errors.New("requests in flight were cut")
 
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/turmerictide/turmerictide/pkg/route"
@@ -82,6 +83,8 @@
 	Endpoints map[string]Endpoint
 	// Since is the time at which the configuration came into force here.
 	Since time.Time
+	// ranks are the priorities of each service with model engines, in order.
+	ranks map[string][]int
 }
 
 // Serving returns the endpoints of a service that take new work.
@@ -97,6 +100,19 @@
 
 // IsServing reports whether an endpoint still takes new work.
 func (s *State) IsServing(endpoint Endpoint) bool {
-	e, ok := s.Endpoints[endpoint.Name]
-	return ok && !e.Leaving && e.Address == endpoint.Address && e.Born.Equal(endpoint.Born)
+	e, ok := s.ServingAt(endpoint.Name, endpoint.Address)
+	return ok && e.Born.Equal(endpoint.Born)
+}
+
+// ServingAt returns the endpoint of a name if it still takes new work at an
+// address.
+func (s *State) ServingAt(name string, address netip.AddrPort) (Endpoint, bool) {
+	e, ok := s.Endpoints[name]
+	return e, ok && !e.Leaving && e.Address == address
+}
+
+// Rank returns the rank of a priority among the routes to a service.
+func (s *State) Rank(service string, priority int) (int, bool) {
+	rank := slices.Index(s.ranks[service], priority)
+	return rank, rank >= 0
 }
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -198,6 +198,12 @@
 	for name, known := range d.decoded {
 		state.Endpoints[name] = known.endpoint
 	}
+	state.ranks = map[string][]int{}
+	for name, service := range d.config.Services {
+		if service.Engine != nil {
+			state.ranks[name] = Priorities(state, name)
+		}
+	}
 	d.current.Store(state)
 	d.changed(state)
 }
--- a/pkg/logsink/logsink.go
+++ b/pkg/logsink/logsink.go
@@ -30,7 +30,6 @@
 	now     func() time.Time
 	queue   chan []byte
 	dropped atomic.Int64
-	written atomic.Int64
 	done    chan struct{}
 }
 
@@ -52,11 +51,6 @@
 	return len(line), nil
 }
 
-// Counts returns the lines written and left out so far.
-func (s *Sink) Counts() (written, dropped int64) {
-	return s.written.Load(), s.dropped.Load()
-}
-
 // Done is closed when Serve has returned.
 func (s *Sink) Done() <-chan struct{} {
 	return s.done
@@ -91,6 +85,5 @@
 			told = dropped
 		}
 		_, _ = s.output.Write(line)
-		s.written.Add(1)
 	}
 }
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -24,15 +24,13 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	now        func() time.Time
-	// Prepare changes the header of an endpoint's answer before it is passed on.
-	Prepare func(header http.Header)
-	status  int
-	firstAt time.Time
+	status     int
+	firstAt    time.Time
 }
 
 // NewAnswer returns an Answer that has not begun.
-func NewAnswer(writer http.ResponseWriter, prepare func(http.Header), now func() time.Time) *Answer {
-	return &Answer{writer: writer, controller: http.NewResponseController(writer), now: now, Prepare: prepare}
+func NewAnswer(writer http.ResponseWriter, now func() time.Time) *Answer {
+	return &Answer{writer: writer, controller: http.NewResponseController(writer), now: now}
 }
 
 // Started reports whether anything was answered.
@@ -45,9 +43,6 @@
 	for name, values := range header {
 		target[name] = values
 	}
-	if a.Prepare != nil {
-		a.Prepare(target)
-	}
 	if _, ok := target["Content-Type"]; !ok {
 		// A nil value keeps the server from guessing one.
 		target["Content-Type"] = nil
@@ -87,7 +82,7 @@
 // frontedBody is a body of which a part has been read already.
 type frontedBody struct {
 	io.Reader
-	body ReplyBody
+	body io.ReadCloser
 }
 
 // Close closes the rest.
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +28,7 @@
 	buffer []byte
 }
 
-func newEventReader(body ReplyBody) *eventReader {
+func newEventReader(body io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReader(body)}
 }
 
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -64,7 +64,7 @@
 
 // serveModel serves a request to model engines.
 func (r *Relay) serveModel(ctx context.Context, j *job) error {
-	rank, ok := rankOf(j.state, j.service.Name, j.route.Priority)
+	rank, ok := j.state.Rank(j.service.Name, j.route.Priority)
 	if !ok {
 		return &Fault{Cause: CauseNoEndpoint, RetryAfter: stateRetryAfter}
 	}
@@ -208,9 +208,8 @@
 
 // endpointOf returns the endpoint of a grant if it still takes new work.
 func (m *modelRun) endpointOf(granted ticket.Endpoint) (directory.Endpoint, error) {
-	state := m.relay.config.State()
-	e, ok := state.Endpoints[granted.Name]
-	if !ok || e.Leaving || e.Address != granted.Address {
+	e, ok := m.relay.config.State().ServingAt(granted.Name, granted.Address)
+	if !ok {
 		return directory.Endpoint{}, errors.Newf("endpoint %s is leaving: %w", granted.Name, errNotRun)
 	}
 	return e, nil
@@ -369,13 +368,3 @@
 		m.relay.config.SpreadMark(mark)
 	}
 }
-
-// rankOf returns the rank of a priority among the routes of a service.
-func rankOf(state *directory.State, service string, priority int) (int, bool) {
-	for i, p := range directory.Priorities(state, service) {
-		if p == priority {
-			return i, true
-		}
-	}
-	return 0, false
-}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -91,21 +92,15 @@
 type Reply struct {
 	Status int
 	Header http.Header
-	// Body ends with io.EOF only when it is complete.
-	Body ReplyBody
+	// Body ends with io.EOF only when it is complete. Closing it before its end
+	// tells the endpoint that nobody waits for the rest.
+	Body io.ReadCloser
 	// NotRun is true when the endpoint says that it did not run the request.
 	NotRun bool
 	// Misdirected is true when another endpoint has the address now.
 	Misdirected bool
 }
 
-// ReplyBody is the body of a Reply. Closing it before its end tells the endpoint
-// that nobody waits for the rest.
-type ReplyBody interface {
-	Read(p []byte) (int, error)
-	Close() error
-}
-
 // Endpoints is how calls reach endpoints. Errors wrap connection.ErrNotSent or
 // connection.ErrBroken.
 type Endpoints struct {
@@ -223,8 +218,8 @@
 	until time.Time
 	// mayHaveRun is true once an endpoint may have begun to run the call.
 	mayHaveRun bool
-	// runs counts the endpoints that may have run it, and prefills beyond the
-	// first.
+	// runs counts the endpoints that may have run it, prefills those that may have
+	// computed its KV cache.
 	runs     int
 	prefills int
 	sends    int
