Keep a connection whose request was sent whole but whose writer had not said so yet

A goroutine writes the request; when the answer was read before that goroutine was scheduled again, the connection counted as half written and was closed. Change: bodies up to 4 KB, which the socket's buffer takes, are written before the answer is awaited; the writer of a larger one has 10 ms to be scheduled. An answer before the end of the request still condemns the connection.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -72,6 +72,12 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdle bounds the kept connections to one address.
 	maxIdle = 64
+	// smallBody is the size up to which a body is sent before the answer is awaited:
+	// the socket's buffer, 16 KB and more, takes it also when the peer reads nothing.
+	smallBody = 4 << 10
+	// writerGrace is the time in which the writer of a larger request that was sent
+	// whole is scheduled to say so.
+	writerGrace = 10 * time.Millisecond
 	// maxLateResponses bounds the responses to earlier requests that are read over.
 	maxLateResponses = 4
 	// maxLateBytes bounds their bodies.
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -120,7 +120,11 @@
 	}
 	e := &exchange{connection: c, written: make(chan struct{})}
 	e.stop = context.AfterFunc(ctx, c.interrupt)
-	go e.write(request)
+	if len(request.Body) <= smallBody {
+		e.write(request)
+	} else {
+		go e.write(request)
+	}
 	response, err := e.readHead(request)
 	if err == nil {
 		return response, nil
@@ -326,7 +330,7 @@
 	uninterrupted := e.stop()
 	select {
 	case <-e.written:
-	default:
+	case <-time.After(writerGrace):
 		// The endpoint answered before it had the whole request.
 		b.keep = false
 	}
