Start with any numbers that the platform may fill in

Cause: a bound may be a fraction.

Numbers may have fractions and exponents.

Ruled out: rounding in the template (it has no arithmetic).

--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -60,15 +60,23 @@
 // default, since control has 64 MB on an entry host.
 const collectPercent = 50
 
+// memoryShare is the part of the host's memory from which on the garbage collector runs
+// more often. The rest is for what the runtime does not count, such as the buffers of
+// sockets.
+const memoryShare = 0.7
+
 // flushTimeout bounds the export of the last spans.
 const flushTimeout = 3 * time.Second
 
 func serveDaemon(ctx context.Context, path string, stdout io.Writer) error {
-	config, err := settings.Load(path)
+	config, passed, err := settings.LoadForStart(path)
 	if err != nil {
 		return err
 	}
 	debug.SetGCPercent(collectPercent)
+	if memory := config.Machine.MemoryBytes; memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	}
 	sink := logsink.New(stdout, time.Now)
 	sinkContext, closeSink := context.WithCancel(context.Background())
 	go sink.Serve(sinkContext)
@@ -77,6 +85,9 @@
 		<-sink.Done()
 	}()
 	log := newLog(sink, config.Log.Verbosity).WithValues("host", config.Daemon.Host, "availability_zone", config.Daemon.AvailabilityZone)
+	for _, fault := range passed {
+		log.Info("setting is wrong, its default is used", "section", fault.Section, "key", fault.Key, "value", fault.Value, "allowed", fault.Allowed)
+	}
 	flush, err := trace.Install(ctx, config.Trace, config.Daemon)
 	if err != nil {
 		return err
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -137,7 +137,7 @@
 	// Share is the part of a service's requests that may be sent again.
 	Share float64
 	// Slack is the number beyond that in any window.
-	Slack int
+	Slack float64
 }
 
 // Served is what is measured of one request.
@@ -324,7 +324,7 @@
 // Part returns what one of so many live daemons may use: the part of its own requests
 // that it may send again, and the number beyond that.
 func (b BudgetSettings) Part(daemons int) (share, burst float64) {
-	return budgetMargin * b.Share, budgetMargin * float64(b.Slack) / float64(max(daemons, 1))
+	return budgetMargin * b.Share, budgetMargin * b.Slack / float64(max(daemons, 1))
 }
 
 // budget returns the retry budget of a service.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -23,6 +23,7 @@
 	Peers    Peers
 	Operator Operator
 	TLS      TLS
+	Machine  Machine
 	Limits   Limits
 	Budget   Budget
 	Log      Log
@@ -86,6 +87,51 @@
 	Token string
 }
 
+// Machine is what the host has for this process, zero where it is not known.
+type Machine struct {
+	MemoryBytes int64
+	Descriptors int
+	// Processors is the part of a processor, or the number of processors.
+	Processors float64
+}
+
+const (
+	// bytesPerMegabyte is the unit of memory_mb.
+	bytesPerMegabyte = 1 << 20
+	// defaultConnections and defaultBufferedBytes are the limits of a machine of which
+	// nothing is known.
+	defaultConnections   = 20000
+	defaultBufferedBytes = 32 << 20
+	// callerShare is the part of the descriptors that callers' connections may take;
+	// the rest is for endpoints, other daemons and files.
+	callerShare = 0.7
+	// bufferShare is the part of the memory that the bodies of requests may take.
+	bufferShare = 0.25
+)
+
+// connections returns the connections of callers that the descriptors allow.
+func (m Machine) connections() int {
+	if m.Descriptors == 0 {
+		return defaultConnections
+	}
+	return max(min(defaultConnections, int(callerShare*float64(m.Descriptors))), 1)
+}
+
+// bufferedBytes returns the bytes of bodies that the memory allows.
+func (m Machine) bufferedBytes() int {
+	if m.MemoryBytes == 0 {
+		return defaultBufferedBytes
+	}
+	return max(min(defaultBufferedBytes, int(bufferShare*float64(m.MemoryBytes))), 1<<20)
+}
+
+// shutdownTimeouts are the times for a shutdown where none is set. A platform that does
+// not tell how long it waits may soon end the process.
+var shutdownTimeouts = map[Protocol]time.Duration{
+	ProtocolTickets:  5 * time.Minute,
+	ProtocolPlatform: 5 * time.Second,
+}
+
 // Limits bounds what callers may hold.
 type Limits struct {
 	BodyBytes int64
@@ -102,7 +148,7 @@
 	// Share is the part of a service's requests.
 	Share float64
 	// Slack is the number beyond that.
-	Slack int
+	Slack float64
 }
 
 // Log selects the verbosity: 0 reports changes of state, 1 each request.
@@ -138,6 +184,8 @@
 	Key     string
 	Value   string
 	Allowed string
+	// Essential is true when no default can stand in for the setting.
+	Essential bool
 }
 
 // Error describes the fault with its place and what is allowed there.
--- a/pkg/settings/settings_reader.go
+++ b/pkg/settings/settings_reader.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"math"
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,15 +17,30 @@
 // Load reads and checks the file at path. The error is a Faults value when the
 // file could be read but holds wrong settings.
 func Load(path string) (Settings, error) {
-	r, err := OpenReader(path)
+	result, passed, err := LoadForStart(path)
+	if err == nil && len(passed) > 0 {
+		err = passed
+	}
 	if err != nil {
 		return Settings{}, err
 	}
+	return result, nil
+}
+
+// LoadForStart reads the file at path for a daemon that starts: a wrong setting that it
+// can do without has its default, and is returned as a fault that was passed over. The
+// error is a Faults value that lists all faults when one of them is essential.
+func LoadForStart(path string) (Settings, Faults, error) {
+	r, err := OpenReader(path)
+	if err != nil {
+		return Settings{}, nil, err
+	}
 	result := r.settings()
-	if err := r.Err(); err != nil {
-		return Settings{}, err
+	r.rejectUnknown()
+	if slices.ContainsFunc(r.faults, func(f Fault) bool { return f.Essential }) {
+		return Settings{}, nil, r.faults
 	}
-	return result, nil
+	return result, r.faults, nil
 }
 
 // Reader reads the keys of an INI file and collects all faults.
@@ -84,12 +101,15 @@
 	s.Operator.Token = r.secret("operator", "token")
 	s.TLS = r.tls(s.Platform.Protocol)
 	s.Limits.BodyBytes = int64(r.Integer("limits", "body_bytes", 4<<20, 1<<10, 1<<30))
-	s.Limits.BufferedBytes = int64(r.Integer("limits", "buffered_bytes", 32<<20, 1<<20, 1<<40))
 	s.Limits.HeaderBytes = r.Integer("limits", "header_bytes", 32<<10, 1<<10, 1<<20)
-	s.Limits.Connections = r.Integer("limits", "connections", 20000, 1, 1<<20)
-	s.Limits.ShutdownTimeout = r.Duration("limits", "shutdown_timeout", 5*time.Minute, 0, 24*time.Hour)
+	s.Machine.MemoryBytes = int64(r.Number("machine", "memory_mb", 0, 0, 1<<30) * bytesPerMegabyte)
+	s.Machine.Descriptors = r.Integer("machine", "descriptors", 0, 0, 1<<30)
+	s.Machine.Processors = r.Number("machine", "processors", 0, 0, 1<<20)
+	s.Limits.BufferedBytes = int64(r.Integer("limits", "buffered_bytes", s.Machine.bufferedBytes(), 1<<20, 1<<40))
+	s.Limits.Connections = r.Integer("limits", "connections", s.Machine.connections(), 1, 1<<20)
+	s.Limits.ShutdownTimeout = r.Duration("limits", "shutdown_timeout", shutdownTimeouts[s.Platform.Protocol], 0, 24*time.Hour)
 	s.Budget.Share = r.share("budget", "share", 0.2)
-	s.Budget.Slack = r.Integer("budget", "slack", 50, 0, 1<<20)
+	s.Budget.Slack = r.Number("budget", "slack", 50, 0, 1<<20)
 	s.Log.Verbosity = r.Integer("log", "verbosity", 0, 0, 2)
 	s.Trace.Exporter = Exporter(r.choice("trace", "exporter", string(ExporterNone), string(ExporterFile), string(ExporterOTLP)))
 	s.Trace.Target = r.Text("trace", "target", "")
@@ -99,8 +119,14 @@
 	return s
 }
 
-// AddFault notes a wrong value and what is allowed in its place.
+// AddFault notes a wrong value that nothing can stand in for, and what is allowed in its
+// place.
 func (r *Reader) AddFault(section, key, value, allowed string) {
+	r.faults = append(r.faults, Fault{Section: section, Key: key, Value: value, Allowed: allowed, Essential: true})
+}
+
+// passOver notes a wrong value that a default stands in for.
+func (r *Reader) passOver(section, key, value, allowed string) {
 	r.faults = append(r.faults, Fault{Section: section, Key: key, Value: value, Allowed: allowed})
 }
 
@@ -152,8 +178,9 @@
 	text := func(number float64) string { return strconv.FormatFloat(number, 'g', -1, 64) }
 	value := r.Text(section, key, text(fallback))
 	number, err := strconv.ParseFloat(value, 64)
-	if err != nil || number < least || number > most {
-		r.AddFault(section, key, value, "a number from "+text(least)+" to "+text(most))
+	if err != nil || !(number >= least && number <= most) {
+		r.passOver(section, key, value, "a number from "+text(least)+" to "+text(most))
+		return fallback
 	}
 	return number
 }
@@ -181,7 +208,7 @@
 	for _, value := range r.List(section, key) {
 		address, err := netip.ParseAddrPort(value)
 		if err != nil {
-			r.AddFault(section, key, value, "IP numbers and ports separated by commas")
+			r.passOver(section, key, value, "IP numbers and ports separated by commas")
 			continue
 		}
 		result = append(result, address)
@@ -215,26 +242,48 @@
 	return value
 }
 
-// Integer reads a whole number in its bounds.
+// Integer reads a whole number in its bounds, which may be written with an exponent or
+// as a fraction with nothing behind the point.
 func (r *Reader) Integer(section, key string, fallback, least, most int) int {
 	value := r.Text(section, key, strconv.Itoa(fallback))
-	number, err := strconv.Atoi(value)
-	if err != nil || number < least || number > most {
-		r.AddFault(section, key, value, "a whole number from "+strconv.Itoa(least)+" to "+strconv.Itoa(most))
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil || number != math.Trunc(number) || !(number >= float64(least) && number <= float64(most)) {
+		r.passOver(section, key, value, "a whole number from "+strconv.Itoa(least)+" to "+strconv.Itoa(most))
+		return fallback
 	}
-	return number
+	return int(number)
 }
 
 // Duration reads a duration in its bounds.
 func (r *Reader) Duration(section, key string, fallback, least, most time.Duration) time.Duration {
 	value := r.Text(section, key, fallback.String())
-	length, err := time.ParseDuration(value)
+	length, err := parseDuration(value)
 	if err != nil || length < least || length > most {
-		r.AddFault(section, key, value, "a duration from "+least.String()+" to "+most.String())
+		r.passOver(section, key, value, "a duration from "+least.String()+" to "+most.String())
+		return fallback
 	}
 	return length
 }
 
+// parseDuration reads a duration whose number may have an exponent, as in 8e0s.
+func parseDuration(text string) (time.Duration, error) {
+	length, err := time.ParseDuration(text)
+	if err == nil {
+		return length, nil
+	}
+	number := strings.TrimRight(text, "nuµmsh")
+	unit, unitErr := time.ParseDuration("1" + text[len(number):])
+	count, countErr := strconv.ParseFloat(number, 64)
+	if unitErr != nil || countErr != nil {
+		return 0, errors.Newf("read duration: %w", err)
+	}
+	nanoseconds := count * float64(unit)
+	if !(math.Abs(nanoseconds) < math.MaxInt64) {
+		return 0, errors.Newf("duration %s is out of range", text)
+	}
+	return time.Duration(nanoseconds), nil
+}
+
 func (r *Reader) choice(section, key string, allowed ...string) string {
 	value := r.Text(section, key, allowed[0])
 	for _, candidate := range allowed {
@@ -293,12 +342,12 @@
 	for _, section := range r.file.Sections() {
 		keys, ok := r.known[section.Name()]
 		if !ok && len(section.Keys()) > 0 {
-			r.AddFault(section.Name(), "", "", "a known section")
+			r.passOver(section.Name(), "", "", "a known section")
 			continue
 		}
 		for _, key := range section.Keys() {
 			if !keys[key.Name()] {
-				r.AddFault(section.Name(), key.Name(), key.Value(), "a known key")
+				r.passOver(section.Name(), key.Name(), key.Value(), "a known key")
 			}
 		}
 	}
