Obey servers that leave or refuse by their answers

That a life leaves is kept by the directory beside the registry's entries, so that the balancer, the grants of owners, retries and resumptions follow at once; it is told to the owners of the service's shards and to all daemons in one rumour, which is passed on while it is news, and ends with that life (born). What a server wants of this host alone is kept in pkg/holdoff and goes with each offer, so that owners grant no place there; frees and orders obey it as well. A refusal with either is no longer blamed on the KV cache, and a request whose prefill endpoints are all barred is computed by a decode endpoint that has room, in place of waiting until it is too late.

Ruled out: an account of times to wait at the owner (lost with a change of owner).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,7 +7,8 @@
 //     weighted with how long it takes, so slow endpoints get less;
 //   - endpoints that fail part of their requests while they look healthy: the
 //     measured share of failures counts as load;
-//   - endpoints that are full: a refusal closes an endpoint for a short pause;
+//   - endpoints that are full: a refusal closes an endpoint for a short pause, or for
+//     as long as the endpoint asks for;
 //   - more load than the endpoints can serve: each takes only as many requests as
 //     it answers in good time, so that some are served in time and the others are
 //     refused at once, in place of all being late;
@@ -59,6 +60,8 @@
 	Places int
 	// Local is true for endpoints in the daemon's own availability zone.
 	Local bool
+	// HeldOff is true for endpoints that want no requests from this daemon now.
+	HeldOff bool
 }
 
 // Outcome is what became of a request at an endpoint.
@@ -116,7 +119,7 @@
 func (b *Balancer) Choose(now time.Time, candidates []Candidate, tried map[string]bool, draw float64) int {
 	best, bestCost := -1, math.Inf(1)
 	for i, c := range candidates {
-		if tried[c.Name] {
+		if tried[c.Name] || c.HeldOff {
 			continue
 		}
 		r := b.record(c.Name)
--- a/pkg/daemon/orders.go
+++ b/pkg/daemon/orders.go
@@ -68,6 +68,13 @@
 func (d *PlatformDaemon) moveEngine(service string, move dispatch.Move) {
 	log := d.log.WithName("orders").WithValues("service", service, "endpoint", move.Endpoint.Name, "role", move.Role)
 	log.Info("engine is to change its role", "serves_per_second", move.Before, "would_serve_per_second", move.After)
+	if e, ok := d.directory.Current().Endpoints[move.Endpoint.Name]; ok {
+		if _, heldOff := d.holdoffs.Until(d.now(), e.Name, e.Born); heldOff {
+			log.Info("engine was not ordered", "error", "it wants no requests now")
+			d.dispatcher.RetryMove(service, move.Endpoint.Name)
+			return
+		}
+	}
 	go func() {
 		d.dispatcher.SetReportedLeaving(move.Endpoint.Name, true)
 		if err := d.orders.move(move); err != nil {
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -163,13 +163,13 @@
 	return dispatch.LifeUnknown
 }
 
-func (p *peers) spread(kind member.RumourKind, body any) {
+func (p *peers) spread(kind member.RumourKind, body any, first ...string) {
 	payload, err := link.Encode(body)
 	if err != nil {
 		p.log.Error(err, "rumour was not encoded")
 		return
 	}
-	p.members.Spread(kind, payload)
+	p.members.Spread(kind, payload, first...)
 }
 
 func (p *peers) spreadPressure(id dispatch.ShardID, pressure dispatch.Pressure) {
@@ -177,22 +177,26 @@
 	p.spread(member.RumourPressure, wirePressure{Shard: id, Pressure: pressure})
 }
 
-func (p *peers) hearPressure(_ string, payload []byte) {
+func (p *peers) hearPressure(_ string, payload []byte) bool {
 	var wire wirePressure
-	if link.Decode(payload, &wire) == nil {
-		p.client.SetPressure(wire.Shard, wire.Pressure)
+	if link.Decode(payload, &wire) != nil {
+		return false
 	}
+	p.client.SetPressure(wire.Shard, wire.Pressure)
+	return true
 }
 
 func (p *peers) spreadMark(mark poison.Mark) {
 	p.spread(member.RumourPoison, wireMark{Fingerprint: mark.Fingerprint, Verdict: mark.Verdict, Endpoint: mark.Endpoint})
 }
 
-func (p *peers) hearMark(_ string, payload []byte) {
+func (p *peers) hearMark(_ string, payload []byte) bool {
 	var wire wireMark
-	if link.Decode(payload, &wire) == nil {
-		p.poison.Apply(p.now(), poison.Mark{Fingerprint: wire.Fingerprint, Verdict: wire.Verdict, Endpoint: wire.Endpoint})
+	if link.Decode(payload, &wire) != nil {
+		return false
 	}
+	p.poison.Apply(p.now(), poison.Mark{Fingerprint: wire.Fingerprint, Verdict: wire.Verdict, Endpoint: wire.Endpoint})
+	return true
 }
 
 // zoneOf returns the availability zone of a daemon, "" when it is not known.
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -20,6 +20,7 @@
 	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/holdoff"
 	"github.com/turmerictide/turmerictide/pkg/lease"
 	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/member"
@@ -42,6 +43,8 @@
 	registration *member.Registration
 	directory    *directory.Directory
 	pool         *connection.Pool
+	holdoffs     *holdoff.Register
+	notices      *relay.Notices
 	relay        *relay.Relay
 	orders       *orders
 	idle         *idleConnections
@@ -90,8 +93,13 @@
 	d.registration = member.NewRegistration(metadata, d.self, log.WithName("member"))
 	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
 	d.pool = connection.NewPool(d.connectionLimit, now)
-	endpoints := platform.Endpoints{Pool: d.pool}
+	d.holdoffs = holdoff.NewRegister()
+	d.notices = &relay.Notices{
+		Directory: d.directory, Holdoffs: d.holdoffs, Spread: d.spreadLife, Now: now, Log: log.WithName("endpoint"),
+	}
+	endpoints := platform.Endpoints{Pool: d.pool, Heard: d.notices.Heard, Log: log.WithName("endpoint")}
 	d.orders = &orders{host: d.self.Host, leases: lease.NewTaker(metadata, orderLease, now), endpoints: endpoints}
+	d.members.Receive(member.RumourLeaving, d.hearLife)
 	d.buildRelay(endpoints)
 	d.buildListeners()
 	d.route()
@@ -111,7 +119,7 @@
 	d.relay = relay.New(relay.Config{
 		Host: d.self.Host, AvailabilityZone: d.self.AvailabilityZone,
 		State: d.directory.Current, Client: d.client, Endpoints: endpoints.Calls(),
-		Poison: d.poison, SpreadMark: d.spreadMark,
+		Poison: d.poison, SpreadMark: d.spreadMark, Holdoffs: d.holdoffs,
 		Daemons: d.countDaemons,
 		Budget:  relay.BudgetSettings{Share: d.settings.Budget.Share, Slack: d.settings.Budget.Slack},
 		Now:     d.now, Log: d.log.WithName("relay"), Record: d.metrics.RecordRouted,
@@ -313,6 +321,7 @@
 			d.reload()
 		}
 		d.pool.Sweep(now)
+		d.holdoffs.Sweep(now)
 		d.directory.Tick(now)
 		d.askPeer(now)
 		if state := d.directory.Current(); state != nil && state.Config.Limits.IdleTimeout > 0 {
--- a/pkg/daemon/wiring.go
+++ b/pkg/daemon/wiring.go
@@ -156,9 +156,11 @@
 	d.spread(member.RumourHosts, wireLeaving{Hosts: hosts})
 }
 
-func (d *Daemon) hearLeaving(_ string, payload []byte) {
+func (d *Daemon) hearLeaving(_ string, payload []byte) bool {
 	var wire wireLeaving
-	if link.Decode(payload, &wire) == nil {
-		d.dispatcher.SetListedLeaving(wire.Hosts)
+	if link.Decode(payload, &wire) != nil {
+		return false
 	}
+	d.dispatcher.SetListedLeaving(wire.Hosts)
+	return true
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -137,3 +137,27 @@
 		require.Equal(t, returns, len(w.directory.Current().Endpoints) == 1)
 	}
 }
+
+func TestLifeThatLeavesByItsWordLeavesUntilItEnds(t *testing.T) {
+	w := newWorld()
+	w.put("config", "1")
+	w.put("endpoints/a", "desk,ready")
+	require.True(t, w.directory.Leave(w.now, directory.Life{Name: "a"}))
+	require.False(t, w.directory.Leave(w.now, directory.Life{Name: "a"}), "that is no news")
+	require.Empty(t, w.directory.Current().Serving("desk"))
+	w.put("endpoints/a", "desk,ready")
+	require.Empty(t, w.directory.Current().Serving("desk"), "whatever its entry says")
+	delete(w.content.Entries, "endpoints/a")
+	w.put("config", "2")
+	w.put("endpoints/a", "desk,ready")
+	require.Len(t, w.directory.Current().Serving("desk"), 1, "another life has the name")
+}
+
+func TestLifeIsKnownToLeaveBeforeItsEntryIs(t *testing.T) {
+	w := newWorld()
+	w.put("config", "1")
+	require.True(t, w.directory.Leave(w.now, directory.Life{Name: "a"}))
+	require.Len(t, w.directory.Leaving(), 1)
+	w.put("endpoints/a", "desk,ready")
+	require.Empty(t, w.directory.Current().Serving("desk"))
+}
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -47,6 +47,8 @@
 	decoded map[string]decodedEndpoint
 	// missing holds the time at which endpoints were first missed after an outage.
 	missing map[string]time.Time
+	// leaving holds the lives of endpoints that have said in an answer that they leave.
+	leaving map[string]leavingLife
 	// bad holds the revisions of entries that could not be read, so that each is
 	// logged once.
 	bad map[string]store.Revision
@@ -61,7 +63,7 @@
 func New(format Format, changed func(*State), now func() time.Time, log logr.Logger) *Directory {
 	return &Directory{
 		format: format, changed: changed, now: now, log: log,
-		decoded: map[string]decodedEndpoint{}, missing: map[string]time.Time{}, bad: map[string]store.Revision{},
+		decoded: map[string]decodedEndpoint{}, missing: map[string]time.Time{}, leaving: map[string]leavingLife{}, bad: map[string]store.Revision{},
 	}
 }
 
@@ -174,6 +176,10 @@
 }
 
 func (d *Directory) drop(name, reason string) {
+	if known, ok := d.decoded[name]; ok && known.endpoint.Born.IsZero() {
+		// The end of its entry is the only sign that the life has ended.
+		delete(d.leaving, name)
+	}
 	delete(d.decoded, name)
 	delete(d.missing, name)
 	d.log.Info("endpoint is dropped", "endpoint", name, "reason", reason)
@@ -187,6 +193,7 @@
 	for name := range d.missing {
 		changed = d.miss(now, name, false) || changed
 	}
+	d.forgetLeaving(now)
 	if changed && d.config.Number > 0 {
 		d.publish()
 	}
@@ -196,6 +203,7 @@
 func (d *Directory) publish() {
 	state := &State{Config: d.config, Endpoints: make(map[string]Endpoint, len(d.decoded)), Since: d.since}
 	for name, known := range d.decoded {
+		known.endpoint.Leaving = known.endpoint.Leaving || d.isLeaving(known.endpoint)
 		state.Endpoints[name] = known.endpoint
 	}
 	state.ranks = map[string][]int{}
--- a/pkg/dispatch/alone.go
+++ b/pkg/dispatch/alone.go
@@ -51,7 +51,7 @@
 func (c *Client) holdAlone(planner *Planner, s routedShard, request Request, grant Grant) *Reservation {
 	r := &Reservation{
 		Grant: grant, Shard: s.key, GrantedAt: c.config.Now(),
-		Prefill: s.endpoints[hashEndpoint(grant.Prefill)], Decode: s.endpoints[hashEndpoint(grant.Decode)],
+		Prefill: s.endpoints[HashEndpoint(grant.Prefill)], Decode: s.endpoints[HashEndpoint(grant.Decode)],
 		client: c, request: request, shard: s, alone: planner,
 	}
 	if grant.Prefill == "" {
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,12 +94,12 @@
 	id        ShardID
 	key       shard.Key
 	shard     shard.Shard
-	endpoints map[endpointHash]ticket.Endpoint
+	endpoints map[EndpointHash]ticket.Endpoint
 }
 
 // add notes an endpoint. Two with one hash are both unknown.
 func (s routedShard) add(endpoint ticket.Endpoint) {
-	hash := hashEndpoint(endpoint.Name)
+	hash := HashEndpoint(endpoint.Name)
 	if _, taken := s.endpoints[hash]; taken {
 		endpoint = ticket.Endpoint{}
 	}
@@ -152,7 +153,7 @@
 	}
 	shards := map[string][]routedShard{}
 	for _, s := range shard.Divide(state) {
-		routed := routedShard{id: NewShardID(s.Key), key: s.Key, shard: s, endpoints: map[endpointHash]ticket.Endpoint{}}
+		routed := routedShard{id: NewShardID(s.Key), key: s.Key, shard: s, endpoints: map[EndpointHash]ticket.Endpoint{}}
 		for _, endpoint := range s.Prefill {
 			routed.add(endpoint)
 		}
@@ -187,6 +188,20 @@
 	}
 }
 
+// Owners returns the hosts to ask for the shards of a service.
+func (c *Client) Owners(service string) []string {
+	c.mu.Lock()
+	shards := c.shards[service]
+	c.mu.Unlock()
+	var owners []string
+	for _, s := range shards {
+		if owner := c.owner(s); owner != "" && !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
 // SetPressure notes what was heard of a shard.
 func (c *Client) SetPressure(id ShardID, pressure Pressure) {
 	c.mu.Lock()
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,6 +50,8 @@
 	Arrival  time.Time
 	// Exclude names an endpoint that has just failed this request.
 	Exclude string
+	// Barred are the endpoints that want no requests from the front for a while.
+	Barred []EndpointHash
 	// Suspect marks a request whose like has crashed an endpoint. An endpoint
 	// runs at most one of them, so that the next crash tells which it was.
 	Suspect bool
@@ -62,6 +65,11 @@
 	Zone string
 }
 
+// bars reports whether the request must not go to an endpoint.
+func (r Request) bars(endpoint string) bool {
+	return endpoint == r.Exclude || (len(r.Barred) > 0 && slices.Contains(r.Barred, HashEndpoint(endpoint)))
+}
+
 // computesPrompt reports whether a decode endpoint is to compute the prompt.
 func (r Request) computesPrompt() bool {
 	return r.DecodeOnly && !r.Cached
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -32,7 +32,7 @@
 			g := decision.Grant
 			d.counts.Grants++
 			d.publish(g.Front, kindGrant, noShard, wireGrant{
-				ID: g.ID, Prefill: hashEndpoint(g.Prefill), Decode: hashEndpoint(g.Decode), Fencing: g.Fencing, Priority: g.Priority,
+				ID: g.ID, Prefill: HashEndpoint(g.Prefill), Decode: HashEndpoint(g.Decode), Fencing: g.Fencing, Priority: g.Priority,
 			})
 			continue
 		}
--- a/pkg/dispatch/export_test.go
+++ b/pkg/dispatch/export_test.go
@@ -36,7 +36,7 @@
 		traced bool
 	}{
 		{kindOffer, 1 << 31, request, true},
-		{kindGrant, noShard, wireGrant{ID: id, Prefill: hashEndpoint("prefill-shubra-1"), Decode: hashEndpoint("decode-shubra-12"), Fencing: 1 << 60}, false},
+		{kindGrant, noShard, wireGrant{ID: id, Prefill: HashEndpoint("prefill-shubra-1"), Decode: HashEndpoint("decode-shubra-12"), Fencing: 1 << 60}, false},
 		{kindPrefilled, noShard, id, false},
 		{kindStarted, noShard, id, false},
 		{kindDone, noShard, wireDone{ID: id, OutputTokens: 471}, false},
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -153,25 +153,36 @@
 	shortLoad = 0.6
 )
 
-// overflow completes a placement with the decode endpoint alone when the shard has no
-// prefill endpoint, or far too few of them for decode endpoints that are half empty.
+// overflow completes a placement with the decode endpoint alone when no prefill endpoint
+// may take the request in time, or far too few of them for decode endpoints that are half empty.
 // Otherwise waiting serves callers better: prompts slow the tokens of everything that
 // a decode endpoint runs.
 func (p *Planner) overflow(w *waiting, choice *placement) bool {
+	mayPrefill := p.mayPrefill(w.request, w.latestStart)
 	most := overflowLoad
-	if p.prefillRate() > 0 {
+	if mayPrefill {
 		most = shortLoad
 	}
 	if !p.service.DecodeReadsPrompts || choice.decode.prompts > 0 || 1-choice.free > most {
 		return false
 	}
-	if p.prefillRate() > 0 && !p.isPrefillShort() {
+	if mayPrefill && !p.isPrefillShort() {
 		return false
 	}
 	choice.tokens, choice.firstToken = float64(w.request.PromptTokens), p.decodePrefillTime(w.request)
 	return true
 }
 
+// mayPrefill reports whether a prefill endpoint may take a request before latest.
+func (p *Planner) mayPrefill(request Request, latest time.Time) bool {
+	for _, e := range p.prefill {
+		if e.isUsable() && e.health.coolUntil.Before(latest) && !request.bars(e.endpoint.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // isPrefillShort reports whether the prefill pool serves far less than the decode pool.
 func (p *Planner) isPrefillShort() bool {
 	prefill, decode, ok := p.poolRates()
@@ -205,7 +216,7 @@
 	for _, e := range p.decode {
 		barred := (e.savedFor != nil && e.savedFor != w) || (w.request.Suspect && e.suspects > 0) ||
 			(w.request.computesPrompt() && e.prompts > 0)
-		if barred || e.free() <= 0 || !e.isOpen(now) || e.endpoint.Name == w.request.Exclude {
+		if barred || e.free() <= 0 || !e.isOpen(now) || w.request.bars(e.endpoint.Name) {
 			continue
 		}
 		free, fits := p.room(now, e, w.request)
@@ -260,7 +271,7 @@
 	bytes := float64(request.PromptTokens) * float64(p.service.KVBytesPerToken)
 	var bestRating time.Duration
 	for _, e := range p.prefill {
-		barred := e.endpoint.Name == request.Exclude || (request.Suspect && e.suspects > 0)
+		barred := request.bars(e.endpoint.Name) || (request.Suspect && e.suspects > 0)
 		if barred || !e.isOpen(now) || !p.mayQueueAt(now, e, priority) {
 			continue
 		}
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -52,14 +52,11 @@
 
 // unfit returns why no endpoint can serve the request before latest, or "".
 func (p *Planner) unfit(request Request, latest time.Time) Cause {
-	prefill := p.needsNoPrefill(request) || p.service.DecodeReadsPrompts
-	for _, e := range p.prefill {
-		prefill = prefill || (e.isUsable() && e.health.coolUntil.Before(latest) && e.endpoint.Name != request.Exclude)
-	}
+	prefill := p.needsNoPrefill(request) || p.service.DecodeReadsPrompts || p.mayPrefill(request, latest)
 	decode, large := false, false
 	pieces := memoryPieces(p.service, request)
 	for _, e := range p.decode {
-		if !e.isUsable() || !e.health.coolUntil.Before(latest) || e.endpoint.Name == request.Exclude {
+		if !e.isUsable() || !e.health.coolUntil.Before(latest) || request.bars(e.endpoint.Name) {
 			continue
 		}
 		decode = true
--- a/pkg/dispatch/planner_fuzz_test.go
+++ b/pkg/dispatch/planner_fuzz_test.go
@@ -60,6 +60,9 @@
 	require.Greater(o.t, g.Fencing, o.fencing, "fencing numbers grow")
 	require.False(o.t, o.leaving[g.Prefill] || o.leaving[g.Decode], "a leaving endpoint was granted")
 	require.NotEqual(o.t, request.Exclude, g.Decode)
+	for _, endpoint := range []string{g.Prefill, g.Decode} {
+		require.NotContains(o.t, request.Barred, dispatch.HashEndpoint(endpoint), "a barred endpoint was granted")
+	}
 	o.fencing = g.Fencing
 	delete(o.waiting, g.ID)
 	o.granted[g.ID] = g
@@ -78,7 +81,7 @@
 func (o *oracle) couldReplace(urgent dispatch.Request, g dispatch.Grant) bool {
 	standard := o.asked[g.ID]
 	small := dispatch.Pieces(urgent.PromptTokens, urgent.OutputTokens) <= dispatch.Pieces(standard.PromptTokens, standard.OutputTokens)
-	barred := urgent.Exclude == g.Decode || urgent.Exclude == g.Prefill || urgent.Suspect
+	barred := urgent.Exclude == g.Decode || urgent.Exclude == g.Prefill || urgent.Suspect || len(urgent.Barred) > 0
 	return small && !barred && urgent.PromptTokens <= standard.PromptTokens
 }
 
@@ -122,6 +125,11 @@
 	require.Equal(o.t, len(o.granted), load.DecodeUsed)
 }
 
+var (
+	barDecode = []dispatch.EndpointHash{dispatch.HashEndpoint("decode-1")}
+	barBoth   = []dispatch.EndpointHash{dispatch.HashEndpoint("prefill-0"), dispatch.HashEndpoint("decode-0")}
+)
+
 func TestPlannerAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOracle(t)
@@ -134,6 +142,7 @@
 					ID: o.next, Front: fmt.Sprint("front-", o.next%2), Caller: fmt.Sprint("caller-", rapid.IntRange(0, 3).Draw(t, "caller")),
 					Rank: rapid.IntRange(0, 1).Draw(t, "rank"), PromptTokens: rapid.IntRange(1, 20000).Draw(t, "prompt"),
 					OutputTokens: rapid.IntRange(1, 4000).Draw(t, "output"), Arrival: o.now, Exclude: exclude,
+					Barred:  rapid.SampledFrom([][]dispatch.EndpointHash{nil, nil, barDecode, barBoth}).Draw(t, "barred"),
 					Suspect: rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
 				}
 				o.asked[r.ID], o.waiting[r.ID] = r, r
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -29,16 +29,17 @@
 	return ShardID(xxhash.Sum64String(key.String())) | 1
 }
 
-// endpointHash stands for an endpoint's name in grants. Names that collide
+// EndpointHash stands for an endpoint's name in messages. Names that collide
 // within a shard would be told apart by neither side, so a grant whose hash
 // belongs to two endpoints is given back.
-type endpointHash uint32
+type EndpointHash uint32
 
-func hashEndpoint(name string) endpointHash {
+// HashEndpoint returns the hash of a name, 0 for "".
+func HashEndpoint(name string) EndpointHash {
 	if name == "" {
 		return 0
 	}
-	return endpointHash(xxhash.Sum64String(name)) | 1
+	return EndpointHash(xxhash.Sum64String(name)) | 1
 }
 
 type wireKind uint8
@@ -87,6 +88,7 @@
 	_              struct{} `cbor:",toarray"`
 	Exclude        string
 	ExpectedTokens int
+	Barred         []EndpointHash
 }
 
 // requestFlags are the properties of a request that it has or has not.
@@ -142,8 +144,8 @@
 type wireGrant struct {
 	_        struct{} `cbor:",toarray"`
 	ID       RequestID
-	Prefill  endpointHash
-	Decode   endpointHash
+	Prefill  EndpointHash
+	Decode   EndpointHash
 	Fencing  FencingNumber
 	Priority int
 }
@@ -170,11 +172,10 @@
 }
 
 func rareOf(r Request) *wireRare {
-	rare := wireRare{Exclude: r.Exclude, ExpectedTokens: r.ExpectedTokens}
-	if rare == (wireRare{}) {
+	if r.Exclude == "" && r.ExpectedTokens == 0 && len(r.Barred) == 0 {
 		return nil
 	}
-	return &rare
+	return &wireRare{Exclude: r.Exclude, ExpectedTokens: r.ExpectedTokens, Barred: r.Barred}
 }
 
 // maxPromptTokens bounds what a peer may claim of a request.
@@ -193,6 +194,7 @@
 	if w.Rare != nil {
 		r.Exclude = w.Rare.Exclude
 		r.ExpectedTokens = min(max(w.Rare.ExpectedTokens, 0), maxPromptTokens)
+		r.Barred = w.Rare.Barred
 	}
 	r.Prefixes = w.Prefixes[:min(len(w.Prefixes), len(PrefixTokens))]
 	return r
--- a/pkg/member/service.go
+++ b/pkg/member/service.go
@@ -63,6 +63,7 @@
 	RumourPressure
 	RumourPoison
 	RumourHosts
+	RumourLeaving
 )
 
 const (
@@ -106,7 +107,7 @@
 	serial        uint64
 	seen          map[rumourID]bool
 	seenOrder     []rumourID
-	receivers     map[RumourKind]func(origin string, payload []byte)
+	receivers     map[RumourKind]func(origin string, payload []byte) bool
 }
 
 type rumourID struct {
@@ -125,7 +126,7 @@
 		lastSync:  map[string]time.Time{},
 		seen:      map[rumourID]bool{},
 		serial:    uint64(config.Self.Incarnation),
-		receivers: map[RumourKind]func(string, []byte){},
+		receivers: map[RumourKind]func(string, []byte) bool{},
 	}
 }
 
@@ -153,8 +154,9 @@
 	return s.done
 }
 
-// Receive registers the reader of a kind of rumour. It must be called before Serve.
-func (s *Service) Receive(kind RumourKind, receiver func(origin string, payload []byte)) {
+// Receive registers the reader of a kind of rumour, which reports whether the rumour is
+// to be passed on. It must be called before Serve.
+func (s *Service) Receive(kind RumourKind, receiver func(origin string, payload []byte) bool) {
 	s.receivers[kind] = receiver
 }
 
--- a/pkg/member/service_messages.go
+++ b/pkg/member/service_messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -116,14 +117,20 @@
 	s.Spread(RumourMember, payload)
 }
 
-// Spread sends a rumour to all daemons that can be reached over neighbours.
-func (s *Service) Spread(kind RumourKind, payload []byte) {
+// Spread sends a rumour to all daemons that can be reached over neighbours, and to some
+// hosts directly, which need it soonest.
+func (s *Service) Spread(kind RumourKind, payload []byte, first ...string) {
 	s.mu.Lock()
 	s.serial++
 	rumour := wireRumour{Origin: s.config.Self.Host, Serial: s.serial, Kind: uint8(kind), Payload: payload}
 	s.remember(rumourID{origin: rumour.Origin, serial: rumour.Serial})
 	hosts := s.floodHosts("")
 	s.mu.Unlock()
+	for _, host := range first {
+		if host != s.config.Self.Host && !slices.Contains(hosts, host) {
+			s.send(host, TopicRumour, rumour)
+		}
+	}
 	for _, host := range hosts {
 		s.send(host, TopicRumour, rumour)
 	}
@@ -189,8 +196,8 @@
 }
 
 // isNews takes a rumour and reports whether it is to be passed on. A fact about
-// a daemon is passed on only while it is news here, whoever spreads it, so that
-// it crosses each link once however many daemons learn it by comparing lists.
+// a daemon or an endpoint is passed on only while it is news here, whoever spreads it,
+// so that it crosses each link once however many daemons learn it.
 func (s *Service) isNews(rumour wireRumour) bool {
 	if RumourKind(rumour.Kind) == RumourMember {
 		return s.hearMember(rumour.Payload)
@@ -200,7 +207,7 @@
 	s.mu.Unlock()
 	receiver, ok := s.receivers[RumourKind(rumour.Kind)]
 	if fresh && ok {
-		receiver(rumour.Origin, rumour.Payload)
+		return receiver(rumour.Origin, rumour.Payload)
 	}
 	return fresh
 }
--- a/pkg/member/service_test.go
+++ b/pkg/member/service_test.go
@@ -70,7 +70,10 @@
 		Self: self, Seeds: seeds, Mesh: n.mesh, Now: time.Now, Log: logr.Discard(),
 		Ticket: func() ticket.Number { return 0 }, TicketHeard: func(string, ticket.Number) {}, Changed: func() {},
 	})
-	n.service.Receive(member.RumourPoison, func(_ string, payload []byte) { f.heard.Store(host+string(payload), true) })
+	n.service.Receive(member.RumourPoison, func(_ string, payload []byte) bool {
+		f.heard.Store(host+string(payload), true)
+		return true
+	})
 	f.nodes = append(f.nodes, n)
 	f.serve(t, n, server)
 }
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -19,6 +19,9 @@
 	// maxRefusals bounds the decode endpoints that are asked: when two that the
 	// dispatcher holds for free refuse, the others are likely full as well.
 	maxRefusals = 2
+	// maxUseless bounds the grants of endpoints that this host may not use: an owner that
+	// is told of one grants another the next time.
+	maxUseless = 4
 	// prefillGrace is added to the predicted time of a prefill before it counts
 	// as lost.
 	prefillGrace = 500 * time.Millisecond
@@ -56,8 +59,10 @@
 	// spent counts the runs and further prefills that count as attempts: those at
 	// endpoints that have ended or are cut off do not.
 	spent int
-	// refusals counts the decode endpoints that refused the request.
+	// refusals counts the decode endpoints that refused the request, useless the grants
+	// of endpoints that take no requests of this host.
 	refusals int
+	useless  int
 	// exclude names the endpoint that has just failed.
 	exclude string
 }
@@ -100,7 +105,7 @@
 // mayRepeat reports whether another endpoint may take the request on.
 func (m *modelRun) mayRepeat(err error) bool {
 	j := m.job
-	if j.sends >= maxModelSends || m.refusals >= maxRefusals || errors.Is(err, errNoBudget) {
+	if j.sends >= maxModelSends || m.refusals >= maxRefusals || m.useless >= maxUseless || errors.Is(err, errNoBudget) {
 		return false
 	}
 	if errors.IsAny(err, errNotRun, connection.ErrNotSent) && !j.mayHaveRun {
@@ -123,7 +128,7 @@
 		PromptTokens: j.call.PromptTokens + made, OutputTokens: max(j.call.OutputTokens-made, 1),
 		ExpectedTokens: max(j.call.ExpectedTokens-made, 0), Prefixes: j.call.Prefixes,
 		Arrival: j.call.Arrival, Exclude: m.exclude, Suspect: verdict == poison.VerdictSuspect,
-		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone,
+		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.barred(now, j.service.Name),
 	}
 	request.Cached = m.handle.ID != ""
 	if request.DecodeOnly && !request.Cached {
@@ -208,13 +213,46 @@
 
 // endpointOf returns the endpoint of a grant if it still takes new work.
 func (m *modelRun) endpointOf(granted ticket.Endpoint) (directory.Endpoint, error) {
-	e, ok := m.relay.config.State().ServingAt(granted.Name, granted.Address)
+	r := m.relay
+	e, ok := r.config.State().ServingAt(granted.Name, granted.Address)
 	if !ok {
+		m.useless++
 		return directory.Endpoint{}, errors.Newf("endpoint %s is leaving: %w", granted.Name, errNotRun)
 	}
+	if _, heldOff := r.config.Holdoffs.Until(r.config.Now(), e.Name, e.Born); heldOff {
+		m.useless++
+		return directory.Endpoint{}, errors.Newf("endpoint %s wants no requests now: %w", granted.Name, errNotRun)
+	}
 	return e, nil
 }
 
+// refusedBy returns the outcome at an endpoint that has refused the request. One that
+// leaves or wants no requests has not failed: the dispatchers are told so, and no KV
+// cache is to blame.
+func (m *modelRun) refusedBy(endpoint directory.Endpoint, reply *Reply) dispatch.Outcome {
+	r := m.relay
+	_, heldOff := r.config.Holdoffs.Until(r.config.Now(), endpoint.Name, endpoint.Born)
+	if heldOff || !r.config.State().IsServing(endpoint) {
+		return dispatch.Outcome{}
+	}
+	return dispatch.Outcome{FailedEndpoint: endpoint.Name, Busy: reply.NotRun && !reply.Misdirected}
+}
+
+// barred returns the endpoints of a service that want no requests from this host now, as
+// dispatchers are told of them.
+func (r *Relay) barred(now time.Time, service string) []dispatch.EndpointHash {
+	if r.config.Holdoffs.IsEmpty() {
+		return nil
+	}
+	var result []dispatch.EndpointHash
+	for _, e := range r.config.State().Serving(service) {
+		if _, heldOff := r.config.Holdoffs.Until(now, e.Name, e.Born); heldOff {
+			result = append(result, dispatch.HashEndpoint(e.Name))
+		}
+	}
+	return result
+}
+
 func (m *modelRun) prefill(ctx context.Context, reservation *dispatch.Reservation, urgency int) (dispatch.Outcome, error) {
 	ctx, span := startHop(ctx, "relay prefill", reservation.Prefill.Name)
 	defer span.End()
@@ -240,9 +278,8 @@
 	})
 	if reply != nil {
 		_ = reply.Body.Close()
-		failed.Busy = reply.NotRun && !reply.Misdirected
 		j.arrivals = max(j.arrivals, 1)
-		return failed, errors.Newf("prefill was answered with %d: %w", reply.Status, errNotRun)
+		return m.refusedBy(endpoint, reply), errors.Newf("prefill was answered with %d: %w", reply.Status, errNotRun)
 	}
 	if err != nil {
 		if !errors.Is(err, connection.ErrNotSent) {
@@ -294,9 +331,8 @@
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
-		failed.Busy = reply.NotRun && !reply.Misdirected
 		m.refusals++
-		return failed, errors.Newf("decode was refused with %d, KV cache of %s: %w", reply.Status, order.Source.Address, errNotRun)
+		return m.refusedBy(endpoint, reply), errors.Newf("decode was refused with %d, KV cache of %s: %w", reply.Status, order.Source.Address, errNotRun)
 	}
 	m.handle = Handle{}
 	m.noteRun()
@@ -337,6 +373,12 @@
 	}
 	m.handle = Handle{}
 	r, id := m.relay, m.job.call.ID
+	if e, ok := r.config.State().At(handle.Address); ok {
+		if _, heldOff := r.config.Holdoffs.Until(r.config.Now(), e.Name, e.Born); heldOff {
+			// The KV cache lapses by itself, soon.
+			return
+		}
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -109,7 +109,10 @@
 	serving := r.config.State().Serving(service)
 	candidates := make([]balance.Candidate, len(serving))
 	for i, e := range serving {
-		candidates[i] = balance.Candidate{Name: e.Name, Places: e.Places, Local: e.AvailabilityZone == r.config.AvailabilityZone}
+		_, heldOff := r.config.Holdoffs.Until(now, e.Name, e.Born)
+		candidates[i] = balance.Candidate{
+			Name: e.Name, Places: e.Places, Local: e.AvailabilityZone == r.config.AvailabilityZone, HeldOff: heldOff,
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/relay/plain_fuzz_test.go
+++ b/pkg/relay/plain_fuzz_test.go
@@ -19,6 +19,7 @@
 	"github.com/turmerictide/turmerictide/internal/virtual"
 	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/holdoff"
 	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/relay"
 	"github.com/turmerictide/turmerictide/pkg/route"
@@ -146,7 +147,7 @@
 			state := siteOf(kind, attempts)
 			r := relay.New(relay.Config{
 				Host: "edge", State: func() *directory.State { return state }, Endpoints: relay.Endpoints{Send: l.send(planned)},
-				Poison: poison.NewRegister(), SpreadMark: func(poison.Mark) {}, Daemons: func() int { return 1 },
+				Poison: poison.NewRegister(), Holdoffs: holdoff.NewRegister(), SpreadMark: func(poison.Mark) {}, Daemons: func() int { return 1 },
 				Budget: relay.BudgetSettings{Share: 0.2, Slack: float64(slack)}, Now: time.Now, Log: logr.Discard(), Record: func(relay.Served) {},
 			})
 			start := time.Now()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -29,6 +29,7 @@
 	"github.com/turmerictide/turmerictide/pkg/balance"
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/holdoff"
 	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/retry"
 	"github.com/turmerictide/turmerictide/pkg/route"
@@ -122,6 +123,8 @@
 	Client           *dispatch.Client
 	Endpoints        Endpoints
 	Poison           *poison.Register
+	// Holdoffs are the endpoints that want no requests from this host for a while.
+	Holdoffs *holdoff.Register
 	// SpreadMark tells the other daemons of a verdict on a request.
 	SpreadMark func(poison.Mark)
 	// Daemons returns the number of live daemons, which share the retry budget.
