--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -41,6 +41,9 @@
 	// Matches reports whether the head of a response belongs to this request.
 	// Responses to earlier requests may arrive late and are read over.
 	Matches func(header http.Header) bool
+	// Fresh asks for a new connection, on which no response to an earlier request can
+	// arrive. It is for requests whose responses cannot be told apart.
+	Fresh bool
 }
 
 // Response is the head of a response and its body.
@@ -78,6 +81,9 @@
 	// writerGrace is the time in which the writer of a larger request that was sent
 	// whole is scheduled to say so.
 	writerGrace = 10 * time.Millisecond
+	// maxHeadBytes bounds the head of a response. HTTP servers and proxies usually allow
+	// 8 to 64 KB.
+	maxHeadBytes = 64 << 10
 	// maxLateResponses bounds the responses to earlier requests that are read over.
 	maxLateResponses = 4
 	// maxLateBytes bounds their bodies.
--- /dev/null
+++ b/pkg/connection/endless_test.go
@@ -0,0 +1,97 @@
+package connection_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/pkg/connection"
+)
+
+// sayForever repeats a text until its reader closes, and counts the bytes taken.
+func sayForever(conn net.Conn, text string, taken *atomic.Int64) {
+	for {
+		n, err := io.WriteString(conn, text)
+		taken.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+func TestHeadWithoutEndIsBounded(t *testing.T) {
+	long := strings.Repeat("x", 1000)
+	for name, s := range map[string]struct{ first, rest string }{
+		"status line":  {"HTTP/1.1 200 ", long},
+		"header lines": {"HTTP/1.1 200 OK\r\n", "X-More: " + long + "\r\n"},
+		"one header":   {"HTTP/1.1 200 OK\r\nX-More: ", long},
+		"continuation": {"HTTP/1.1 200 OK\r\nX-More: a\r\n", " " + long + "\r\n"},
+		"early hints":  {"", "HTTP/1.1 103 Early Hints\r\nX-More: " + long + "\r\n\r\n"},
+		"no answer":    {"", "\x00\xff" + long},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var taken atomic.Int64
+			closed := make(chan struct{})
+			address, _ := serve(t, func(_ *testing.T, conn net.Conn, request *http.Request, _ int) bool {
+				defer close(closed)
+				_, _ = io.Copy(io.Discard, request.Body)
+				say(conn, s.first)
+				sayForever(conn, s.rest, &taken)
+				return false
+			})
+			_, err := exchange(t, newPool(1), address, "a")
+			requireIs(t, err, connection.ErrBroken)
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the connection is still open")
+			}
+		})
+	}
+}
+
+func TestLongHeadIsRead(t *testing.T) {
+	address, _ := serve(t, func(_ *testing.T, conn net.Conn, request *http.Request, _ int) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		say(conn, "HTTP/1.1 200 OK\r\nX-More: "+strings.Repeat("x", 40_000)+"\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	pool := newPool(1)
+	for range 3 {
+		requireExchange(t, pool, address, "a")
+	}
+}
+
+func TestAnswerLongerThanItsLengthIsCutAndItsConnectionClosed(t *testing.T) {
+	var taken atomic.Int64
+	address, accepted := serve(t, func(_ *testing.T, conn net.Conn, request *http.Request, _ int) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		say(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+		sayForever(conn, "more", &taken)
+		return false
+	})
+	pool := newPool(1)
+	requireExchange(t, pool, address, "a")
+	requireExchange(t, pool, address, "b")
+	require.EqualValues(t, 2, accepted.Load())
+}
+
+func TestFreshRequestUsesANewConnection(t *testing.T) {
+	address, accepted := serve(t, answer)
+	pool := newPool(2)
+	requireExchange(t, pool, address, "a")
+	fresh := request("b")
+	fresh.Fresh = true
+	response, err := pool.Do(t.Context(), address, fresh)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.EqualValues(t, 2, accepted.Load())
+}
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -35,6 +35,7 @@
 	pool    *Pool
 	address netip.AddrPort
 	socket  *net.TCPConn
+	bound   *boundedReader
 	reader  *bufio.Reader
 	// usableUntil is the time from which an idle connection is not used again.
 	usableUntil time.Time
@@ -103,7 +104,11 @@
 // Do sends a request and returns the head of its response. When ctx ends, also
 // later while the body is read, the connection is closed.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, request *Request) (*Response, error) {
-	c, err := p.take(ctx, address)
+	take := p.take
+	if request.Fresh {
+		take = p.connect
+	}
+	c, err := take(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +177,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &connection{pool: p, address: address, socket: socket, reader: bufio.NewReader(socket)}, nil
+	bound := &boundedReader{source: socket}
+	return &connection{pool: p, address: address, socket: socket, bound: bound, reader: bufio.NewReader(bound)}, nil
 }
 
 // takeIdle removes the connection that was used last, or returns nil.
@@ -252,7 +258,9 @@
 func (e *exchange) readHead(request *Request) (*Response, error) {
 	c := e.connection
 	for late := 0; late <= maxLateResponses; late++ {
+		c.bound.limit(maxHeadBytes)
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		c.bound.lift()
 		if err != nil {
 			return nil, errors.Newf("read response head: %w", err)
 		}
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill"
@@ -79,6 +80,7 @@
 	if err != nil {
 		return nil, errors.Newf("build router: %w", err)
 	}
+	router.AddMiddleware(p.recoverHandler)
 	p.router = router
 	p.members = member.NewService(member.Config{
 		Self: p.self, Seeds: s.Peers.Seeds, Mesh: p.mesh, Now: now, Log: log.WithName("member"),
@@ -98,6 +100,20 @@
 	return p, nil
 }
 
+// recoverHandler keeps a message that its handler cannot cope with from ending the
+// process. The message is dropped, as if it had been lost on its way.
+func (p *peers) recoverHandler(next message.HandlerFunc) message.HandlerFunc {
+	return func(m *message.Message) (_ []*message.Message, err error) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				p.log.Error(errors.Newf("%v", cause), "message was not handled", "peer", link.Host(m), "bytes", len(m.Payload), "stack", string(debug.Stack()))
+				err = nil
+			}
+		}()
+		return next(m)
+	}
+}
+
 // route adds the handlers of peer messages.
 func (p *peers) route() {
 	p.members.Route(p.router)
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -398,3 +398,8 @@
 		}
 	}
 }
+
+// ConfigNumber returns the number of the configuration in force, 0 before the first.
+func (d *PlatformDaemon) ConfigNumber() uint64 {
+	return uint64(d.directory.Number())
+}
--- a/pkg/dispatch/export_test.go
+++ b/pkg/dispatch/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 
 	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/shard"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
@@ -92,3 +93,12 @@
 	_, ok := p.Hold(id)
 	return ok
 }
+
+// ShardIDs returns the identifiers of all shards of a state.
+func ShardIDs(state *ticket.State) []ShardID {
+	var ids []ShardID
+	for _, s := range shard.Divide(state) {
+		ids = append(ids, NewShardID(s.Key))
+	}
+	return ids
+}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -9,8 +9,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream. An event holds the text of a few tokens;
+// the bound is far above that, and small against the memory of a host that relays dozens
+// of streams.
+const maxEventBytes = 128 << 10
 
 // event is one whole event of a stream, as it came.
 type event struct {
