Let large hosts own shards, and start a large site without a storm

Cause: at 66 and 295 hosts, nothing of the start was bounded. In its own view each of many hosts that start together is the owner of every shard of a site with few of them (the bound counted shards, not hosts), asks every host that it hears of, also while it only stands in, and is answered: 65 connections a host at 66 hosts, held for 30 s. And 19 of 20 shards fell on hosts with a quarter of the processors of the largest.

Change: daemons tell how much processor they have; only those with at least half of the largest own shards (rendezvous among them as before; the next class when those are lost). A daemon that starts with most others, among more than 16, takes over only what offers come for until it can know them; one that starts alone asks all at once, as before. Who stands in asks only the fronts that make offers. Polls are 0.7 s apart in the first 4 s where there are more than 40 entries. Registrations last 30 s (12) and are renewed each 10 s (4): heartbeats find out who lives.

Ruled out: weighted rendezvous by processors (with 280 small and 15 large hosts, four of five shards would still be owned by small ones).

Red before: TestPollsAreFewWhileASiteStarts (301 polls, bound 8), TestLargeSiteOfFewShardsStartsWithoutAStorm (600 questions, bound 100).

--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -66,7 +66,7 @@
 	p := &peers{settings: s, log: log, now: now, poison: poison.NewRegister()}
 	p.self = member.Member{
 		Host: s.Daemon.Host, AvailabilityZone: s.Daemon.AvailabilityZone,
-		Peer: s.Listen.Peer, Incarnation: member.NewIncarnation(now()),
+		Peer: s.Listen.Peer, Incarnation: member.NewIncarnation(now()), Processors: s.Machine.Processors,
 	}
 	p.frontTag = p.self.FrontTag()
 	p.mesh = link.NewMesh(link.Config{
@@ -89,13 +89,13 @@
 	p.dispatcher = dispatch.NewDispatcher(dispatch.DispatcherConfig{
 		Host: p.self.Host, AvailabilityZone: p.self.AvailabilityZone,
 		Publish: p.mesh.Publish, Now: now, Log: log.WithName("dispatch"),
-		Hosts: p.members.Hosts, Fronts: p.members.Serving, FrontLife: p.frontLife, ZoneOf: p.zoneOf,
+		Hosts: p.members.Hosts, Capable: p.members.Capable, StartedTogether: p.members.StartedTogether, Fronts: p.members.Serving, FrontLife: p.frontLife, ZoneOf: p.zoneOf,
 		CancelHold: n.cancelHold, SpreadPressure: p.spreadPressure, MoveEngine: n.moveEngine,
 	})
 	p.client = dispatch.NewClient(dispatch.ClientConfig{
 		Host: p.self.Host, AvailabilityZone: p.self.AvailabilityZone,
 		FrontTag: p.frontTag, Publish: p.mesh.Publish, Now: now, Log: log.WithName("dispatch"),
-		Hosts: p.members.Hosts, LifeSince: p.members.LifeSince,
+		Hosts: p.members.Hosts, Capable: p.members.Capable, LifeSince: p.members.LifeSince,
 	})
 	return p, nil
 }
--- a/pkg/dispatch/alone_test.go
+++ b/pkg/dispatch/alone_test.go
@@ -101,11 +101,11 @@
 	s.addresses[host] = netip.MustParseAddrPort(server.Listener.Addr().String())
 	s.mu.Unlock()
 	client := dispatch.NewClient(dispatch.ClientConfig{
-		Host: host, AvailabilityZone: "a", FrontTag: tag, Publish: mesh.Publish, Now: time.Now, Log: logr.Discard(), Hosts: s.hosts,
+		Capable: sameHosts, Host: host, AvailabilityZone: "a", FrontTag: tag, Publish: mesh.Publish, Now: time.Now, Log: logr.Discard(), Hosts: s.hosts,
 		LifeSince: s.lifeSince,
 	})
 	dispatcher := dispatch.NewDispatcher(dispatch.DispatcherConfig{
-		Host: host, AvailabilityZone: "a", Publish: mesh.Publish, Now: time.Now, Log: logr.Discard(), Hosts: s.hosts,
+		Capable: sameHosts, StartedTogether: startTogether, Host: host, AvailabilityZone: "a", Publish: mesh.Publish, Now: time.Now, Log: logr.Discard(), Hosts: s.hosts,
 		Fronts:         func() []string { return s.hosts("") },
 		FrontLife:      func(uint32, string, time.Time) dispatch.Life { return dispatch.LifeAlive },
 		ZoneOf:         func(string) string { return "a" },
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -61,6 +61,8 @@
 	Log     logr.Logger
 	// Hosts returns the live daemons of a zone.
 	Hosts func(zone string) []string
+	// Capable returns those of some hosts that may own shards.
+	Capable func(hosts []string) []string
 	// LifeSince returns when the present life of a host was first heard of.
 	LifeSince func(host string) time.Time
 }
@@ -221,7 +223,7 @@
 			hosts = append(hosts, host)
 		}
 	}
-	return shard.Owner(s.key.String(), hosts)
+	return shard.Owner(s.key.String(), c.config.Capable(hosts))
 }
 
 // pick chooses between two random shards of a zone the one under less pressure.
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -50,6 +50,10 @@
 	Log     logr.Logger
 	// Hosts returns the live daemons of a zone, or all for "".
 	Hosts func(zone string) []string
+	// Capable returns those of some hosts that may own shards.
+	Capable func(hosts []string) []string
+	// StartedTogether reports whether most daemons that are known started with this one.
+	StartedTogether func() bool
 	// Fronts returns all daemons that may hold places, also those that leave.
 	Fronts func() []string
 	// FrontLife tells whether the life of a front that made a request
@@ -177,9 +181,11 @@
 	// startTime is the time in which a daemon that starts hears of the others: they
 	// register within it, and a heartbeat brings the rest of the list.
 	startTime = 3 * time.Second
-	// maxStartShards is the number of shards that a daemon may take over before that,
-	// so that a small site grants without a pause: a few questions for each host.
+	// maxStartShards and maxStartHosts are the numbers of shards, and of hosts that are
+	// known, up to which a daemon takes over before that, so that a small site grants
+	// without a pause: a few questions to each host.
 	maxStartShards = 4
+	maxStartHosts  = 16
 )
 
 // Refresh takes the state in force and the present membership: it takes over
@@ -208,10 +214,7 @@
 
 // takeOver takes over the shards that this daemon owns. The caller holds the lock.
 func (d *Dispatcher) takeOver(now time.Time) {
-	// While daemons of a large site start together, each is the owner of all shards in
-	// its own view, and would ask every host for each of them. Until it can know the
-	// others it takes only those over that it gets offers for.
-	if now.Sub(d.started) < startTime && len(d.all) > maxStartShards {
+	if d.isStarting(now) {
 		return
 	}
 	for id, s := range d.all {
@@ -221,9 +224,17 @@
 	}
 }
 
+// isStarting reports whether this daemon has just started at a large site. While the
+// daemons of one start together, each is the owner of all shards in its own view, and
+// would ask every host for each of them. Until it can know the others it takes only
+// those over that it gets offers for. The caller holds the lock.
+func (d *Dispatcher) isStarting(now time.Time) bool {
+	return now.Sub(d.started) < startTime && (len(d.all) > maxStartShards || len(d.config.Fronts()) > maxStartHosts) && d.config.StartedTogether()
+}
+
 // isOwner reports whether this daemon is the owner of a shard.
 func (d *Dispatcher) isOwner(key shard.Key) bool {
-	return shard.Owner(key.String(), d.config.Hosts(key.AvailabilityZone)) == d.config.Host
+	return shard.Owner(key.String(), d.config.Capable(d.config.Hosts(key.AvailabilityZone))) == d.config.Host
 }
 
 // refreshShard updates one owned shard. The caller holds the lock.
@@ -238,9 +249,12 @@
 	if !d.isOwner(s.Key) && o.standInUntil.IsZero() {
 		o.standInUntil = now.Add(standInTime)
 	}
-	// A daemon that has just started owns shards before it knows all fronts.
-	for _, host := range d.config.Fronts() {
-		d.ask(o, host)
+	// A daemon that has just started owns shards before it knows all fronts. One that
+	// stands in asks the fronts that make offers.
+	if o.standInUntil.IsZero() && !d.isStarting(now) {
+		for _, host := range d.config.Fronts() {
+			d.ask(o, host)
+		}
 	}
 	d.loseFronts(o)
 	d.send(o, o.planner.Tick(now, d.decisions[:0]))
--- a/pkg/dispatch/main_test.go
+++ b/pkg/dispatch/main_test.go
@@ -10,3 +10,9 @@
 func TestMain(m *testing.M) {
 	os.Exit(seed.Run(m))
 }
+
+// sameHosts takes all hosts for capable of owning shards.
+func sameHosts(hosts []string) []string { return hosts }
+
+// startTogether takes all hosts for started with this one.
+func startTogether() bool { return true }
--- a/pkg/dispatch/simulated_test.go
+++ b/pkg/dispatch/simulated_test.go
@@ -105,11 +105,11 @@
 	}
 	s.mu.Unlock()
 	m.client = dispatch.NewClient(dispatch.ClientConfig{
-		Host: name, AvailabilityZone: "a", FrontTag: m.tag, Publish: m.publish, Now: time.Now, Log: logr.Discard(),
+		Capable: sameHosts, Host: name, AvailabilityZone: "a", FrontTag: m.tag, Publish: m.publish, Now: time.Now, Log: logr.Discard(),
 		Hosts: m.hosts, LifeSince: m.lifeSince,
 	})
 	m.dispatcher = dispatch.NewDispatcher(dispatch.DispatcherConfig{
-		Host: name, AvailabilityZone: "a", Publish: m.publish, Now: time.Now, Log: logr.Discard(), Hosts: m.hosts,
+		Capable: sameHosts, StartedTogether: startTogether, Host: name, AvailabilityZone: "a", Publish: m.publish, Now: time.Now, Log: logr.Discard(), Hosts: m.hosts,
 		Fronts: func() []string { return m.hosts("") }, FrontLife: m.frontLife, ZoneOf: func(string) string { return "a" },
 		CancelHold:     func(_ dispatch.Hold, _ dispatch.FencingNumber, confirmed func()) { go confirmed() },
 		SpreadPressure: func(dispatch.ShardID, dispatch.Pressure) {},
--- a/pkg/dispatch/start_test.go
+++ b/pkg/dispatch/start_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/turmerictide/turmerictide/internal/virtual"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
@@ -49,7 +50,7 @@
 			return slices.Clone(known)
 		}
 		d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
-			Host: "host-0", AvailabilityZone: "a", Now: time.Now, Log: logr.Discard(),
+			Capable: sameHosts, StartedTogether: startTogether, Host: "host-0", AvailabilityZone: "a", Now: time.Now, Log: logr.Discard(),
 			Publish:   func(string, ...*message.Message) error { questions.Add(1); return nil },
 			Hosts:     func(string) []string { return hostsKnown() },
 			Fronts:    hostsKnown,
@@ -84,3 +85,61 @@
 		require.LessOrEqual(t, int(questions.Load())-early, owned*hosts)
 	})
 }
+
+// TestOwnerThatStartsAgainAsksAllAtOnce replays one host of a large site that starts
+// again: the list that it hears is whole, and what the fronts hold must be known before
+// it grants.
+func TestOwnerThatStartsAgainAsksAllAtOnce(t *testing.T) {
+	const hosts = 60
+	virtual.Run(t, func(t *testing.T) {
+		asked := map[string]bool{}
+		var known []string
+		for i := range hosts {
+			known = append(known, fmt.Sprint("host-", i))
+		}
+		state := siteState("decode-0", "decode-1")
+		for _, host := range known {
+			d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
+				Capable: sameHosts, StartedTogether: func() bool { return false }, Host: host, AvailabilityZone: "a", Now: time.Now, Log: logr.Discard(),
+				Publish: func(_ string, messages ...*message.Message) error {
+					for _, m := range messages {
+						asked[link.Host(m)] = true
+					}
+					return nil
+				},
+				Hosts: func(string) []string { return known }, Fronts: func() []string { return known },
+				FrontLife: func(uint32, string, time.Time) dispatch.Life { return dispatch.LifeUnknown },
+				ZoneOf:    func(string) string { return "a" }, SpreadPressure: func(dispatch.ShardID, dispatch.Pressure) {},
+				CancelHold: func(dispatch.Hold, dispatch.FencingNumber, func()) {},
+			})
+			d.Refresh(state)
+		}
+		require.Len(t, asked, hosts)
+	})
+}
+
+// TestLargeSiteOfFewShardsStartsWithoutAStorm replays a large site whose engines are few,
+// as TestLargeSiteStartsWithoutAStormOfQuestions one with many services.
+func TestLargeSiteOfFewShardsStartsWithoutAStorm(t *testing.T) {
+	const hosts = 300
+	virtual.Run(t, func(t *testing.T) {
+		known := []string{"host-0"}
+		questions := 0
+		d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
+			Capable: sameHosts, StartedTogether: startTogether, Host: "host-0", AvailabilityZone: "a", Now: time.Now, Log: logr.Discard(),
+			Publish: func(string, ...*message.Message) error { questions++; return nil },
+			Hosts:   func(string) []string { return known }, Fronts: func() []string { return known },
+			FrontLife: func(uint32, string, time.Time) dispatch.Life { return dispatch.LifeUnknown },
+			ZoneOf:    func(string) string { return "a" }, SpreadPressure: func(dispatch.ShardID, dispatch.Pressure) {},
+			CancelHold: func(dispatch.Hold, dispatch.FencingNumber, func()) {},
+		})
+		state := largeState(2)
+		d.Refresh(state)
+		for i := 1; i < hosts; i++ {
+			known = append(known, fmt.Sprint("host-", i))
+			time.Sleep(5 * time.Millisecond)
+			d.Refresh(state)
+		}
+		require.LessOrEqual(t, questions, 100)
+	})
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -59,6 +59,11 @@
 	return Incarnation(start.UnixMilli()) << lifeShift
 }
 
+// Start returns the time at which the life began, by its own clock.
+func (i Incarnation) Start() time.Time {
+	return time.UnixMilli(int64(i >> lifeShift))
+}
+
 // Member is one daemon.
 type Member struct {
 	Host             string
@@ -66,6 +71,8 @@
 	Peer             netip.AddrPort
 	Incarnation      Incarnation
 	State            State
+	// Processors is what the daemon may use of its host, 0 where that is not known.
+	Processors float64
 }
 
 // Life identifies the life of the daemon that the entry is about.
--- a/pkg/member/registration.go
+++ b/pkg/member/registration.go
@@ -17,9 +17,10 @@
 	// registrationPrefix begins the store's keys of daemons.
 	registrationPrefix = "turmerictide/members/"
 	// registrationTTL is the time for which an entry outlives its daemon.
-	registrationTTL = 12 * time.Second
-	// renewPeriod spaces the renewals, three within the entry's time.
-	renewPeriod = 4 * time.Second
+	registrationTTL = 30 * time.Second
+	// renewPeriod spaces the renewals, three within the entry's time: hundreds of daemons
+	// renew, and who lives is found out by heartbeats.
+	renewPeriod = 10 * time.Second
 	// registrationRetry spaces the attempts to register.
 	registrationRetry = 500 * time.Millisecond
 )
--- a/pkg/member/service.go
+++ b/pkg/member/service.go
@@ -31,6 +31,8 @@
 	Port             uint16
 	Incarnation      uint64
 	State            uint8
+	// Milliprocessors are thousandths of a processor.
+	Milliprocessors uint32
 }
 
 type wireHeartbeat struct {
@@ -302,6 +304,53 @@
 	return result
 }
 
+// capableShare is the part of the largest host's processors from which a host may own
+// shards: an owner decides for all fronts, and on a host with a quarter of the
+// processors it is late before it is lost.
+const capableShare = 0.5
+
+// Capable returns those of some hosts that may own shards: the largest, and those that are
+// not much smaller. When the largest are lost the next ones are.
+func (s *Service) Capable(hosts []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0.0
+	for _, host := range hosts {
+		if known, ok := s.table.members[host]; ok {
+			most = max(most, known.Processors)
+		}
+	}
+	if most == 0 {
+		return hosts
+	}
+	var result []string
+	for _, host := range hosts {
+		if known, ok := s.table.members[host]; ok && known.Processors >= capableShare*most {
+			result = append(result, host)
+		}
+	}
+	return result
+}
+
+// togetherTime is the difference of two starts up to which daemons have started together.
+const togetherTime = 10 * time.Second
+
+// StartedTogether reports whether most daemons that are known started with this one: the
+// whole site did, and others are still to be heard of. While this daemon alone starts, or
+// starts again, the list that it hears is whole.
+func (s *Service) StartedTogether() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.table.self.Incarnation.Start()
+	together := 0
+	for _, known := range s.table.members {
+		if known.Incarnation.Start().Sub(own).Abs() < togetherTime {
+			together++
+		}
+	}
+	return 2*together > len(s.table.members)
+}
+
 // Serving returns the hosts that may still serve requests: all that are not dead.
 func (s *Service) Serving() []string {
 	s.mu.Lock()
--- a/pkg/member/service_messages.go
+++ b/pkg/member/service_messages.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,11 +12,15 @@
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
+// milliprocessors are those of one processor.
+const milliprocessors = 1000
+
 func encodeMember(m Member) wireMember {
 	return wireMember{
 		Host: m.Host, AvailabilityZone: m.AvailabilityZone,
 		Address: m.Peer.Addr().AsSlice(), Port: m.Peer.Port(),
 		Incarnation: uint64(m.Incarnation), State: uint8(m.State),
+		Milliprocessors: uint32(math.Round(m.Processors * milliprocessors)),
 	}
 }
 
@@ -25,6 +30,7 @@
 		Host: w.Host, AvailabilityZone: w.AvailabilityZone,
 		Peer:        netip.AddrPortFrom(address, w.Port),
 		Incarnation: Incarnation(w.Incarnation), State: State(w.State),
+		Processors: float64(w.Milliprocessors) / milliprocessors,
 	}
 }
 
--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -28,6 +28,13 @@
 	// the work at a few parts in a hundred while thousands of endpoints register.
 	gatherTime    = 20 * time.Microsecond
 	maxGatherTime = 100 * time.Millisecond
+	// startTime is the time in which the daemons of a site that start together register.
+	// Each reads the store until it knows who does so for its zone, and each entry would
+	// answer the waiting polls of all, so polls are startGather apart meanwhile.
+	startTime   = 4 * time.Second
+	startGather = 700 * time.Millisecond
+	// smallSite is the number of entries up to which so many polls are no burden.
+	smallSite = 40
 	// maxRecent bounds the changes that are kept for peers.
 	maxRecent = 4096
 )
@@ -57,6 +64,8 @@
 	contact  time.Time
 	troubled time.Time
 	listed   bool
+	// started is when the Mirror began to follow the store.
+	started time.Time
 	// resting is true while peers are read in place of the store.
 	resting bool
 	wake    chan struct{}
@@ -87,6 +96,9 @@
 // Serve follows the store until ctx ends.
 func (m *Mirror) Serve(ctx context.Context) error {
 	defer close(m.done)
+	m.mu.Lock()
+	m.started = m.now()
+	m.mu.Unlock()
 	pause := firstRetryPause
 	for ctx.Err() == nil {
 		if m.isResting() {
@@ -173,6 +185,9 @@
 func (m *Mirror) gather(ctx context.Context) {
 	m.mu.Lock()
 	wait := min(time.Duration(len(m.entries))*gatherTime, maxGatherTime)
+	if len(m.entries) > smallSite && m.now().Sub(m.started) < startTime {
+		wait = startGather
+	}
 	m.mu.Unlock()
 	select {
 	case <-ctx.Done():
--- a/pkg/store/mirror_test.go
+++ b/pkg/store/mirror_test.go
@@ -216,3 +216,43 @@
 		require.Equal(t, map[string]string{"a": "3"}, values(m))
 	})
 }
+
+// TestPollsAreFewWhileASiteStarts replays the start of a large site: hundreds of daemons
+// register within seconds, and each entry answers the waiting polls of all.
+func TestPollsAreFewWhileASiteStarts(t *testing.T) {
+	const daemons = 300
+	virtual.Run(t, func(t *testing.T) {
+		var listing store.Listing
+		for i := range 60 {
+			listing.Entries = append(listing.Entries, entry(fmt.Sprint("servers/", i), "x", store.Revision(i+1)))
+		}
+		listing.Revision = 60
+		start := time.Now()
+		polls := 0
+		revision := func() store.Revision {
+			return 60 + min(store.Revision(time.Since(start)/(10*time.Millisecond)), daemons)
+		}
+		s := &store.Store{
+			List: func(context.Context, string) (store.Listing, error) { return listing, nil },
+			Poll: func(ctx context.Context, _ string, after store.Revision, wait time.Duration) (store.Changes, error) {
+				polls++
+				for end := time.Now().Add(wait); time.Now().Before(end) && revision() == after && ctx.Err() == nil; {
+					time.Sleep(time.Millisecond)
+				}
+				changes := store.Changes{Revision: revision()}
+				for r := after + 1; r <= changes.Revision; r++ {
+					changes.Events = append(changes.Events, store.Event{Entry: entry(fmt.Sprint("members/", r), "x", r)})
+				}
+				return changes, nil
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		m := store.NewMirror(s, "", nil, time.Now, logr.Discard())
+		go func() { _ = m.Serve(ctx) }()
+		time.Sleep(4 * time.Second)
+		require.Len(t, m.Content().Entries, 360)
+		require.LessOrEqual(t, polls, 8)
+		cancel()
+		<-m.Done()
+	})
+}
