Keep the turn of refused callers that come back

Cause: a request that would miss its target is refused and comes back about a second later, mostly in the same burst.

Change: the planner remembers the fingerprints of what it refused, with the time that the caller was told. Who comes early has the same turn.

--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -23,6 +23,9 @@
 	// longestPause bounds the pause of an engine that failed: the platform removes
 	// those that are lost after three heartbeats.
 	longestPause = 3 * time.Second
+	// returnTargets is how long a caller that came back waits for its first token, in
+	// targets: callers give up after a silence of four.
+	returnTargets = 2.5
 	// floorShare is the part of granted work that each less urgent rank keeps.
 	floorShare = 0.05
 )
@@ -73,7 +76,7 @@
 	result := ticket.Service{
 		Name: service.Name, Kind: ticket.KindModel,
 		KVBytesPerToken: service.Engine.BytesPerToken, PieceTokens: pieceTokens,
-		AllZones: true, MemoryGrows: true, LongestPause: ticket.Duration(longestPause), DecodeReadsPrompts: true, FirstStep: ticket.Duration(firstStep), TokenTime: ticket.Duration(tokenTime),
+		AllZones: true, MemoryGrows: true, LongestPause: ticket.Duration(longestPause), DecodeReadsPrompts: true, ReturnTargets: returnTargets, FirstStep: ticket.Duration(firstStep), TokenTime: ticket.Duration(tokenTime),
 	}
 	for i, priority := range Priorities(state, service.Name) {
 		target, gap := targetsOf(state, service.Name, priority)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -50,6 +50,9 @@
 	Arrival  time.Time
 	// Exclude names an endpoint that has just failed this request.
 	Exclude string
+	// Fingerprint is that of the request's content, so that a caller who was refused is
+	// known when it comes back.
+	Fingerprint Fingerprint
 	// Barred are the endpoints that want no requests from the front for a while.
 	Barred []EndpointHash
 	// Suspect marks a request whose like has crashed an endpoint. An endpoint
--- a/pkg/dispatch/estimate.go
+++ b/pkg/dispatch/estimate.go
@@ -154,7 +154,11 @@
 // retryAfter returns when a refused caller is to come back. Requests refused
 // together come back spread over a quarter more than the wait.
 func (p *Planner) retryAfter(now time.Time, request Request) time.Duration {
-	wait := min(max(p.predictWait(now, request), minRetryAfter), maxRetryAfter)
+	least := minRetryAfter
+	if p.service.ReturnTargets > 0 {
+		least = returnAfter
+	}
+	wait := min(max(p.predictWait(now, request), least), maxRetryAfter)
 	spread := float64(uint64(request.ID)*0x9e3779b97f4a7c15>>40) / (1 << 24)
 	return wait + time.Duration(float64(wait)*spread/4)
 }
--- a/pkg/dispatch/message_fuzz_test.go
+++ b/pkg/dispatch/message_fuzz_test.go
@@ -55,7 +55,7 @@
 	request := func() any {
 		var rare any
 		if rapid.Bool().Draw(t, "rare") {
-			rare = []any{endpoint(), number(), list(hash)}
+			rare = []any{endpoint(), number(), list(hash), hash()}
 		}
 		return []any{id(), "caller", number(), number(), number(), list(hash), number(), rapid.IntRange(0, 255).Draw(t, "flags"), rare}
 	}
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -44,6 +44,11 @@
 // grantNext decides on one request: the first, in the order of ranks and
 // callers, that fits.
 func (p *Planner) grantNext(now time.Time) (Decision, bool) {
+	if p.queues.areReturnedOwed() {
+		if decision, ok := p.grantReturned(now, 1); ok {
+			return decision, true
+		}
+	}
 	for _, rank := range p.queues.ordered() {
 		if !p.queues.isOwed(rank) && p.freeDecode <= p.headroomFor(now, rank) {
 			continue
@@ -52,6 +57,9 @@
 			return decision, true
 		}
 	}
+	if p.queues.fresh() == 0 {
+		return p.grantReturned(now, returnedLoad)
+	}
 	return Decision{}, false
 }
 
@@ -93,11 +101,22 @@
 }
 
 func (p *Planner) grant(now time.Time, rank, priority int, c *callerQueue, choice placement) Decision {
-	expected := c.entries[0].request
-	output := min(p.queues.ranks[rank].output.or(float64(expected.OutputTokens)), float64(expected.OutputTokens))
-	work := max(choice.tokens+outputTokenWork*output, 1)
+	work := p.workOf(c.entries[0].request, choice)
 	w := p.queues.take(rank, c, work)
+	p.queues.creditReturned(work)
 	p.clearSaved(w)
+	return p.book(now, w, priority, work, choice)
+}
+
+// workOf returns the work of a request at a placement, in prompt tokens.
+func (p *Planner) workOf(request Request, choice placement) float64 {
+	limit := float64(request.OutputTokens)
+	output := min(p.queues.ranks[request.Rank].output.or(limit), limit)
+	return max(choice.tokens+outputTokenWork*output, 1)
+}
+
+// book reserves what a request gets, which waits no more.
+func (p *Planner) book(now time.Time, w *waiting, priority int, work float64, choice placement) Decision {
 	h := &hold{
 		request: w.request, prefill: choice.prefill, decode: choice.decode,
 		prefillTokens: choice.tokens, bytes: choice.bytes,
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -68,6 +68,8 @@
 	nextMoveAt time.Time
 	// settledAt is the time from which the account is believed to be whole.
 	settledAt time.Time
+	// turns are those of refused callers.
+	turns *turns
 	// blocked is reused between decisions.
 	blocked []*callerQueue
 }
@@ -86,6 +88,7 @@
 		links:   map[string]*linkState{},
 		holds:   map[RequestID]*hold{},
 		fencing: fencing,
+		turns:   newTurns(),
 	}
 }
 
@@ -142,7 +145,7 @@
 			return
 		}
 	}
-	p.prefill = append(p.prefill, newPrefillEndpoint(endpoint, len(p.queues.ranks), link))
+	p.prefill = append(p.prefill, newPrefillEndpoint(endpoint, p.returnedPriority()+1, link))
 }
 
 func (p *Planner) setDecode(endpoint ticket.Endpoint) {
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -13,6 +13,10 @@
 		return decisions
 	}
 	request.Rank = min(max(request.Rank, 0), len(p.queues.ranks)-1)
+	if turn, ok := p.turns.of(now, request.Fingerprint); ok && request.Fingerprint != 0 && p.service.ReturnTargets > 0 {
+		p.refresh(now)
+		return p.offerReturned(now, request, turn, decisions)
+	}
 	queue := p.queues.ranks[request.Rank]
 	queue.arrivals.add(now)
 	p.offeredPrompt.add(float64(request.PromptTokens))
@@ -45,9 +49,11 @@
 }
 
 func (p *Planner) refuse(now time.Time, request Request, cause Cause) Decision {
-	return Decision{Refusal: Refusal{
-		ID: request.ID, Front: request.Front, Cause: cause, RetryAfter: p.retryAfter(now, request),
-	}}
+	wait := p.retryAfter(now, request)
+	if request.Fingerprint != 0 {
+		p.turns.note(now, request.Fingerprint, now.Add(wait))
+	}
+	return Decision{Refusal: Refusal{ID: request.ID, Front: request.Front, Cause: cause, RetryAfter: wait}}
 }
 
 // unfit returns why no endpoint can serve the request before latest, or "".
--- a/pkg/dispatch/planner_fuzz_test.go
+++ b/pkg/dispatch/planner_fuzz_test.go
@@ -32,6 +32,7 @@
 
 func newOracle(t *rapid.T) *oracle {
 	small := layout(2, 3, 3, 8, 1500*time.Millisecond)
+	small.Service.ReturnTargets = rapid.SampledFrom([]float64{0, 2.5}).Draw(t, "return targets")
 	return &oracle{
 		t: t, layout: small, planner: newPlanner(small), now: epoch,
 		waiting: map[dispatch.RequestID]dispatch.Request{}, granted: map[dispatch.RequestID]dispatch.Grant{},
@@ -142,8 +143,9 @@
 					ID: o.next, Front: fmt.Sprint("front-", o.next%2), Caller: fmt.Sprint("caller-", rapid.IntRange(0, 3).Draw(t, "caller")),
 					Rank: rapid.IntRange(0, 1).Draw(t, "rank"), PromptTokens: rapid.IntRange(1, 20000).Draw(t, "prompt"),
 					OutputTokens: rapid.IntRange(1, 4000).Draw(t, "output"), Arrival: o.now, Exclude: exclude,
-					Barred:  rapid.SampledFrom([][]dispatch.EndpointHash{nil, nil, barDecode, barBoth}).Draw(t, "barred"),
-					Suspect: rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
+					Fingerprint: dispatch.Fingerprint(rapid.IntRange(0, 6).Draw(t, "fingerprint")),
+					Barred:      rapid.SampledFrom([][]dispatch.EndpointHash{nil, nil, barDecode, barBoth}).Draw(t, "barred"),
+					Suspect:     rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
 				}
 				o.asked[r.ID], o.waiting[r.ID] = r, r
 				o.take(o.planner.Offer(o.now, r, nil))
--- a/pkg/dispatch/queue_fair.go
+++ b/pkg/dispatch/queue_fair.go
@@ -14,6 +14,11 @@
 	blockedSince time.Time
 	// deadlineIndex is the position in the deadline heap, -1 when not in it.
 	deadlineIndex int
+	// isReturned is true for a caller that was refused and came back, turn when it was
+	// told to, and returnedIndex its position in the heap of these.
+	isReturned    bool
+	turn          time.Time
+	returnedIndex int
 }
 
 // callerQueue holds the waiting requests of one caller in order of arrival.
--- a/pkg/dispatch/queue_rank.go
+++ b/pkg/dispatch/queue_rank.go
@@ -28,6 +28,10 @@
 	deadlines deadlineHeap
 	queued    map[RequestID]*waiting
 	order     []int
+	// returned are those of callers that came back, and returnedCredit is the work that
+	// they may claim before fresh requests.
+	returned       returnedHeap
+	returnedCredit float64
 }
 
 func newRankQueues(all []targets) *rankQueues {
@@ -50,7 +54,11 @@
 	if !ok {
 		return false
 	}
-	q.ranks[w.request.Rank].fair.remove(w)
+	if w.isReturned {
+		heap.Remove(&q.returned, w.returnedIndex)
+	} else {
+		q.ranks[w.request.Rank].fair.remove(w)
+	}
 	q.forget(w)
 	return true
 }
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -89,6 +89,7 @@
 	Exclude        string
 	ExpectedTokens int
 	Barred         []EndpointHash
+	Fingerprint    Fingerprint
 }
 
 // requestFlags are the properties of a request that it has or has not.
@@ -172,10 +173,10 @@
 }
 
 func rareOf(r Request) *wireRare {
-	if r.Exclude == "" && r.ExpectedTokens == 0 && len(r.Barred) == 0 {
+	if r.Exclude == "" && r.ExpectedTokens == 0 && len(r.Barred) == 0 && r.Fingerprint == 0 {
 		return nil
 	}
-	return &wireRare{Exclude: r.Exclude, ExpectedTokens: r.ExpectedTokens, Barred: r.Barred}
+	return &wireRare{Exclude: r.Exclude, ExpectedTokens: r.ExpectedTokens, Barred: r.Barred, Fingerprint: r.Fingerprint}
 }
 
 // maxPromptTokens bounds what a peer may claim of a request.
@@ -194,7 +195,7 @@
 	if w.Rare != nil {
 		r.Exclude = w.Rare.Exclude
 		r.ExpectedTokens = min(max(w.Rare.ExpectedTokens, 0), maxPromptTokens)
-		r.Barred = w.Rare.Barred
+		r.Barred, r.Fingerprint = w.Rare.Barred, w.Rare.Fingerprint
 	}
 	r.Prefixes = w.Prefixes[:min(len(w.Prefixes), len(PrefixTokens))]
 	return r
--- a/pkg/emulator/policy_product.go
+++ b/pkg/emulator/policy_product.go
@@ -54,7 +54,7 @@
 	j.state = stateWaiting
 	request := dispatch.Request{
 		ID: id, Front: "front", Caller: callerName(j.caller), Rank: j.rank,
-		PromptTokens: j.prompt, OutputTokens: j.limit, Arrival: arrival,
+		PromptTokens: j.prompt, OutputTokens: j.limit, Arrival: arrival, Fingerprint: dispatch.Fingerprint(j.id + 1),
 	}
 	p.w.after(messageDelay, func() {
 		if !j.isOver() {
--- a/pkg/emulator/scenario.go
+++ b/pkg/emulator/scenario.go
@@ -66,6 +66,9 @@
 	// or at once for the part Impatient.
 	Returns   int
 	Impatient float64
+	// ReturnTargets is how long one that came back waits, in targets; with 0 it is served
+	// as if it had not come before.
+	ReturnTargets float64
 	// Flooder has caller 0 send half of all requests, and caller 1 prompts of twenty
 	// times the length.
 	Flooder bool
@@ -79,7 +82,7 @@
 
 func (s Scenario) shard() shard.Shard {
 	result := shard.Shard{Service: ticket.Service{
-		Name: "model", Kind: ticket.KindModel, KVBytesPerToken: s.KVBytes, OutputTokens: s.OutputLimit,
+		Name: "model", Kind: ticket.KindModel, KVBytesPerToken: s.KVBytes, OutputTokens: s.OutputLimit, ReturnTargets: s.ReturnTargets,
 	}}
 	for _, r := range s.Ranks {
 		result.Service.Ranks = append(result.Service.Ranks, r.Rank)
--- a/pkg/experiment/file.go
+++ b/pkg/experiment/file.go
@@ -57,6 +57,7 @@
 	s.Callers = r.Integer("load", "callers", 24, 1, most)
 	s.Cancelled = r.Number("load", "cancelled", 0, 0, 1)
 	s.Returns = r.Integer("load", "returns", 0, 0, 100)
+	s.ReturnTargets = r.Number("load", "return_targets", 0, 0, 100)
 	s.Impatient = r.Number("load", "impatient", 0, 0, 1)
 	for _, text := range r.List("load", "seeds") {
 		seed, err := strconv.ParseUint(text, 10, 64)
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -128,7 +128,7 @@
 		PromptTokens: j.call.PromptTokens + made, OutputTokens: max(j.call.OutputTokens-made, 1),
 		ExpectedTokens: max(j.call.ExpectedTokens-made, 0), Prefixes: j.call.Prefixes,
 		Arrival: j.call.Arrival, Exclude: m.exclude, Suspect: verdict == poison.VerdictSuspect,
-		DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.barred(now, j.service.Name),
+		Fingerprint: dispatch.Fingerprint(m.fingerprint), DecodeOnly: m.decodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.barred(now, j.service.Name),
 	}
 	request.Cached = m.handle.ID != ""
 	if request.DecodeOnly && !request.Cached {
@@ -138,7 +138,7 @@
 	}
 	if j.sends > 0 {
 		// A repeated request is late through no fault of its caller, so it starts anew.
-		request.Arrival = now
+		request.Arrival, request.Fingerprint = now, 0
 	}
 	reservation, err := r.acquire(ctx, j, request)
 	if err != nil {
@@ -169,7 +169,8 @@
 func (r *Relay) acquire(ctx context.Context, j *job, request dispatch.Request) (*dispatch.Reservation, error) {
 	ctx, span := startHop(ctx, "relay acquire", "")
 	defer span.End()
-	left := j.route.Target - r.config.Now().Sub(request.Arrival)
+	// The owner refuses in time; this bounds the wait for one that does not answer.
+	left := time.Duration(longestTargets*float64(j.route.Target)) - r.config.Now().Sub(request.Arrival)
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	reservation, err := r.config.Client.Acquire(limited, j.service.Name, request)
@@ -193,6 +194,10 @@
 	return nil, &Fault{Cause: CauseNoEndpoint, RetryAfter: modelRetryAfter}
 }
 
+// longestTargets bounds the wait for places, in first-token targets: callers that come back
+// wait longer than those that come first.
+const longestTargets = 3
+
 // modelRetryAfter is the time in which a lost dispatcher or pool is replaced.
 const modelRetryAfter = 1500 * time.Millisecond
 
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -99,6 +99,10 @@
 	FirstStep Duration `json:"first_step,omitempty"`
 	// AllZones makes one owner dispatch the endpoints of all availability zones.
 	AllZones bool `json:"all_zones,omitempty"`
+	// ReturnTargets is how long a caller that was refused and came back waits for its
+	// first token, in first-token targets of its rank. With 0 it is served as if it had
+	// not come before.
+	ReturnTargets float64 `json:"return_targets,omitempty"`
 	// DecodeReadsPrompts is true when decode endpoints also serve a request
 	// whose prompt no prefill endpoint has computed.
 	DecodeReadsPrompts bool `json:"decode_reads_prompts,omitempty"`
