Give the engines of a service to one owner up to what it can carry

Cause: shards were bounded by 512 places. An engine of 64 places has memory for seven requests, so 90 such engines made seven shards of about seven decode and four prefill engines: one was full beside another that was not, and with each engine that came or went others changed their shard.

Change: a service that one owner dispatches for all zones is divided from 2,048 requests that can run at once on, counted by memory, or 256 engines; its owner is one of the largest hosts. Where an engine still changes its shard, fronts tell the new owner what they hold there, twice, since it may learn of the change later; a host that owns both shards ends a request in both. What a front reports is queued under the lock that the end of a hold takes, so that it never arrives after it.

Ruled out: a constant for each site; more places alone, without holds that follow.

Sites of one shard are not touched.

--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -127,9 +127,11 @@
 func (c *Client) Serve(ctx context.Context) error {
 	defer close(c.done)
 	return repeat(ctx, beatPeriod, func() {
+		now := c.config.Now()
 		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.pause.beat(c.config.Now())
+		c.pause.beat(now)
+		c.mu.Unlock()
+		c.followEngines(now)
 	})
 }
 
@@ -165,10 +167,55 @@
 		shards[s.Key.Service] = append(shards[s.Key.Service], routed)
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.shards = shards
+	c.mu.Unlock()
+	c.followEngines(c.config.Now())
+}
+
+// followEngines moves the reservations at engines that have changed their shard to the
+// present one, and tells its owner of them. An owner may learn of the change later than
+// this front, and cannot count a hold at an engine that it does not know, so it is told
+// twice.
+func (c *Client) followEngines(now time.Time) {
+	homes := map[ShardID]routedShard{}
+	c.mu.Lock()
+	for _, r := range c.live {
+		home, ok := c.homeOf(r)
+		if !ok {
+			continue
+		}
+		if home.id != r.shard.id {
+			r.shard, r.tellAgainAt = home, now.Add(tellAgainTime)
+		} else if r.tellAgainAt.IsZero() || now.Before(r.tellAgainAt) {
+			continue
+		} else {
+			r.tellAgainAt = time.Time{}
+		}
+		homes[home.id] = home
+	}
+	c.mu.Unlock()
+	for id, home := range homes {
+		if owner := c.owner(home); owner != "" {
+			c.report(owner, id)
+		}
+	}
 }
 
+// homeOf returns the present shard of the engine that runs a reservation. The caller holds
+// the lock.
+func (c *Client) homeOf(r *Reservation) (routedShard, bool) {
+	hash := HashEndpoint(r.Decode.Name)
+	for _, s := range c.shards[r.Shard.Service] {
+		if _, ok := s.endpoints[hash]; ok {
+			return s, true
+		}
+	}
+	return routedShard{}, false
+}
+
+// tellAgainTime is the time in which all daemons know of a change of the endpoints.
+const tellAgainTime = time.Second
+
 // Avoid passes over a host that could not be reached, for a time.
 func (c *Client) Avoid(host string) {
 	c.mu.Lock()
--- a/pkg/dispatch/client_messages.go
+++ b/pkg/dispatch/client_messages.go
@@ -105,17 +105,18 @@
 	return ok
 }
 
-// report tells an owner all that this front holds in a shard.
+// report tells an owner all that this front holds in a shard. The lock is held until the
+// message is queued, so that the end of a hold never goes before it.
 func (c *Client) report(owner string, id ShardID) {
 	now := c.config.Now()
 	reply := wireHolds{Complete: true}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, r := range c.live {
 		if r.shard.id == id {
 			reply.Holds = append(reply.Holds, r.tell(owner, now))
 		}
 	}
-	c.mu.Unlock()
 	c.publish(context.Background(), owner, kindHolds, id, reply)
 }
 
@@ -147,6 +148,7 @@
 	var held wireHolds
 	var disowned wireIDs
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, id := range wire.IDs {
 		if !isOurs(id) {
 			continue
@@ -157,7 +159,6 @@
 		}
 		disowned.IDs = append(disowned.IDs, id)
 	}
-	c.mu.Unlock()
 	if len(held.Holds) > 0 {
 		c.publish(context.Background(), owner, kindHolds, envelope.Shard, held)
 	}
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -123,14 +123,16 @@
 	notify(d.busy)
 }
 
-// find returns the owned shard that knows a request, or nil.
-func (d *Dispatcher) find(id RequestID) *ownedShard {
+// find returns the owned shards that know a request: two, after its engine has moved from
+// one to the other.
+func (d *Dispatcher) find(id RequestID) []*ownedShard {
+	var found []*ownedShard
 	for _, o := range d.owned {
 		if o.planner.knows(id) || o.hasOffer(id) {
-			return o
+			found = append(found, o)
 		}
 	}
-	return nil
+	return found
 }
 
 func (o *ownedShard) hasOffer(id RequestID) bool {
@@ -145,7 +147,7 @@
 	if err := link.Decode(body, &id); err != nil {
 		return
 	}
-	if o := d.find(id); o != nil {
+	for _, o := range d.find(id) {
 		d.send(o, event(o.planner, now, id, d.decisions[:0]))
 	}
 }
@@ -155,17 +157,20 @@
 	if err := link.Decode(body, &wire); err != nil {
 		return
 	}
-	o := d.find(wire.ID)
-	if o == nil {
-		return
-	}
-	o.dropOffer(wire.ID)
 	outcome := Outcome{OutputTokens: wire.OutputTokens, FailedEndpoint: wire.FailedEndpoint, Busy: busy}
-	granted := o.planner.loadAtGrant(wire.ID)
-	d.send(o, o.planner.Done(now, wire.ID, outcome, d.decisions[:0]))
+	for _, o := range d.find(wire.ID) {
+		d.finish(now, o, wire.ID, outcome)
+	}
+}
+
+// finish ends a request in a shard that knows it. The caller holds the lock.
+func (d *Dispatcher) finish(now time.Time, o *ownedShard, id RequestID, outcome Outcome) {
+	o.dropOffer(id)
+	granted := o.planner.loadAtGrant(id)
+	d.send(o, o.planner.Done(now, id, outcome, d.decisions[:0]))
 	if outcome.FailedEndpoint != "" {
 		load := o.planner.Load(now)
-		d.config.Log.Info("endpoint has failed a request", "endpoint", outcome.FailedEndpoint, "request", wire.ID.String(), "busy", busy, "load_at_grant", granted,
+		d.config.Log.Info("endpoint has failed a request", "endpoint", outcome.FailedEndpoint, "request", id.String(), "busy", outcome.Busy, "load_at_grant", granted,
 			"token_time_us", o.planner.tokenTimeOf(outcome.FailedEndpoint).Microseconds(),
 			"paused_ms", o.planner.paused(now, outcome.FailedEndpoint).Milliseconds(), "open_decode", load.OpenDecode, "open_prefill", load.OpenPrefill)
 	}
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -53,6 +53,8 @@
 
 	freeDecode int
 	holdTime   mean
+	// tokenGap is the mean time for one output token over all decode endpoints.
+	tokenGap mean
 	// gapTrend is the time between tokens over the requests that the endpoint runs.
 	gapTrend   trend
 	promptWork mean
@@ -256,7 +258,8 @@
 		grantedAt: now.Add(-adopted.Decoding), startedAt: now.Add(-adopted.Decoding), decodeAt: now, made: adopted.Made, beside: decode.used, isAdopted: true,
 	}
 	if adopted.Made > 0 && adopted.Decoding > 0 {
-		decode.gap.addTo(time.Duration(p.service.TokenTime).Seconds(), adopted.Decoding.Seconds()/float64(adopted.Made))
+		gap := adopted.Decoding.Seconds() / float64(adopted.Made)
+		decode.gap.addTo(time.Duration(p.service.TokenTime).Seconds(), gap)
 	}
 	for _, e := range p.prefill {
 		if e.endpoint.Name == adopted.Prefill && adopted.Stage != StageDecode {
--- a/pkg/dispatch/reservation.go
+++ b/pkg/dispatch/reservation.go
@@ -30,6 +30,9 @@
 	made      atomic.Int64
 	// alone is the Planner that granted it when no owner did.
 	alone *Planner
+	// tellAgainAt is when the owner of another shard, to which the engine has moved, is
+	// told of the reservation once more, zero for never.
+	tellAgainAt time.Time
 	// owners are the hosts that count it: the one that granted it, and those that were
 	// told of it since. The client's lock guards them.
 	owners []string
--- a/pkg/shard/shard.go
+++ b/pkg/shard/shard.go
@@ -22,6 +22,15 @@
 	// MaxPlaces is the number of their places from which a site has more shards,
 	// so that the messages of one owner stay bounded.
 	MaxPlaces = 512
+	// MaxSharedEndpoints and MaxSharedPlaces are the same for the shards of a service that
+	// one owner dispatches for all zones, where only the largest hosts own shards. An
+	// engine that changes its shard has two owners for a while, and small shards fill up
+	// beside others that are not.
+	MaxSharedEndpoints = 256
+	MaxSharedPlaces    = 2048
+	// usualTokens is the memory of a usual request, where an engine's memory and not its
+	// places bounds what it runs.
+	usualTokens = 4096
 )
 
 // AllZones stands for the availability zone of shards that span all of them.
@@ -132,9 +141,13 @@
 func countShards(service ticket.Service, prefill, decode []ticket.Endpoint) int {
 	places := 0
 	for _, endpoint := range decode {
-		places += endpoint.Places
+		places += placesOf(service, endpoint)
 	}
-	count := max(divideUp(len(decode), MaxDecodeEndpoints), divideUp(places, MaxPlaces), 1)
+	mostEndpoints, mostPlaces := MaxDecodeEndpoints, MaxPlaces
+	if service.AllZones {
+		mostEndpoints, mostPlaces = MaxSharedEndpoints, MaxSharedPlaces
+	}
+	count := max(divideUp(len(decode), mostEndpoints), divideUp(places, mostPlaces), 1)
 	count = min(count, max(len(decode), 1))
 	if service.Kind == ticket.KindModel {
 		count = min(count, max(len(prefill), 1))
@@ -142,6 +155,15 @@
 	return count
 }
 
+// placesOf returns the requests that an endpoint runs at once, by its places and by its
+// memory.
+func placesOf(service ticket.Service, endpoint ticket.Endpoint) int {
+	if !service.MemoryGrows || endpoint.Pieces == 0 {
+		return endpoint.Places
+	}
+	return max(min(endpoint.Places, endpoint.Pieces*service.PieceTokens/usualTokens), 1)
+}
+
 func divideUp(total, size int) int {
 	return (total + size - 1) / size
 }
