Take an engine of which nothing was measured for as fast as the others

Cause: the time for one output token was a constant, 0.9 ms, until an engine had been measured.

Change: the mean over all engines of the shard stands in, once 16 requests have ended.

Ruled out: to believe it from the first sample on (an owner that stood still measures its own pause, and overfilled an engine: TestOwnerThatStoodStillKeepsToTheMemory).

TestNewEngineIsTakenForAsFastAsTheOthers was red (1 ms in place of 5).

--- a/pkg/dispatch/endpoint_state.go
+++ b/pkg/dispatch/endpoint_state.go
@@ -212,11 +212,11 @@
 	return e.endpoint.Pieces == 0 || e.pieces+pieces <= e.endpoint.Pieces
 }
 
-// measure takes a request's mean token gap, of which usual is stated, and adapts the
+// measure takes a request's mean token gap, of which usual are the seconds elsewhere, and adapts the
 // limit: it falls by a factor while the gap is over target and rises by one place a
 // period.
-func (e *decodeEndpoint) measure(now time.Time, gap, usual, target time.Duration) {
-	e.gap.addTo(usual.Seconds(), gap.Seconds())
+func (e *decodeEndpoint) measure(now time.Time, gap time.Duration, usual float64, target time.Duration) {
+	e.gap.addTo(usual, gap.Seconds())
 	if e.gap.samples < gapSamples || now.Sub(e.limitAt) < limitPeriod {
 		return
 	}
--- a/pkg/dispatch/export_test.go
+++ b/pkg/dispatch/export_test.go
@@ -105,3 +105,6 @@
 	}
 	return ids
 }
+
+// TokenTimeOf returns the time for one output token of a decode endpoint.
+func TokenTimeOf(p *Planner, endpoint string) time.Duration { return p.tokenTimeOf(endpoint) }
--- a/pkg/dispatch/memory.go
+++ b/pkg/dispatch/memory.go
@@ -80,15 +80,27 @@
 // been measured.
 const typicalOutput = 0.6
 
-// tokenTime returns the seconds for one output token: measured, the service's own
-// figure, or the target.
+// tokenTime returns the seconds for one output token, measured or usual.
 func (p *Planner) tokenTime(e *decodeEndpoint) float64 {
-	if usual := time.Duration(p.service.TokenTime); usual > 0 {
-		return e.gap.or(usual.Seconds())
+	return e.gap.or(p.usualTokenTime())
+}
+
+// usualTokenTime returns the seconds for one output token at an endpoint of which nothing
+// was measured: the mean over the others, the service's own figure, or the target.
+func (p *Planner) usualTokenTime() float64 {
+	switch stated := time.Duration(p.service.TokenTime).Seconds(); {
+	case stated <= 0:
+		return p.queues.ranks[0].targets.gap.Seconds()
+	case p.tokenGap.samples < usualSamples:
+		return stated
 	}
-	return e.gap.or(p.queues.ranks[0].targets.gap.Seconds())
+	return p.tokenGap.value
 }
 
+// usualSamples is the number of requests from which on the mean of all endpoints is
+// believed: a few may hold the time for which messages were on their way.
+const usualSamples = 16
+
 // demandOf returns the memory demand of a granted request.
 func (p *Planner) demandOf(now time.Time, h *hold) demand {
 	expected := p.expectedOutput(h.request)
--- a/pkg/dispatch/memory_test.go
+++ b/pkg/dispatch/memory_test.go
@@ -171,3 +171,25 @@
 		planner.Started(epoch, r.ID, nil)
 	}
 }
+
+// TestNewEngineIsTakenForAsFastAsTheOthers replays a site whose engines take five times
+// the stated time for a token, and to which an empty engine is added.
+func TestNewEngineIsTakenForAsFastAsTheOthers(t *testing.T) {
+	s := growingLayout(2, 2)
+	planner := newPlanner(s)
+	now := epoch
+	for id := dispatch.RequestID(1); id <= 40; id++ {
+		r := longRequest(id, now)
+		r.OutputTokens, r.ExpectedTokens = 1530, 600
+		planner.Offer(now, r, nil)
+		planner.Prefilled(now, id, nil)
+		planner.Started(now, id, nil)
+		now = now.Add(601 * 5 * time.Millisecond)
+		planner.Done(now, id, dispatch.Outcome{OutputTokens: 601}, nil)
+	}
+	added := s.Decode[0]
+	added.Name = "decode-new"
+	s.Decode = append(s.Decode, added)
+	planner.SetEndpoints(s)
+	require.InDelta(t, 5, dispatch.TokenTimeOf(planner, "decode-new").Seconds()*1000, 0.5)
+}
--- a/pkg/dispatch/planner.go
+++ b/pkg/dispatch/planner.go
@@ -259,7 +259,8 @@
 	}
 	if adopted.Made > 0 && adopted.Decoding > 0 {
 		gap := adopted.Decoding.Seconds() / float64(adopted.Made)
-		decode.gap.addTo(time.Duration(p.service.TokenTime).Seconds(), gap)
+		decode.gap.addTo(p.usualTokenTime(), gap)
+		p.tokenGap.add(gap)
 	}
 	for _, e := range p.prefill {
 		if e.endpoint.Name == adopted.Prefill && adopted.Stage != StageDecode {
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -239,7 +239,9 @@
 	if outcome.OutputTokens > 1 {
 		gap := now.Sub(h.startedAt) / time.Duration(outcome.OutputTokens-1)
 		p.gapTrend.add(float64(h.beside+h.decode.used)/2+1, gap.Seconds())
-		h.decode.measure(now, gap, time.Duration(p.service.TokenTime), p.queues.ranks[0].targets.gap)
+		usual := p.usualTokenTime()
+		p.tokenGap.add(gap.Seconds())
+		h.decode.measure(now, gap, usual, p.queues.ranks[0].targets.gap)
 	}
 }
 
