Log the prompt parts and the progress of interrupted runs

The lines of an interrupted run and of a crash had a fingerprint only, which cannot tell a part that many requests share from one request that is retried or from a faulty endpoint. They now have the parts of the prompt other than the last, the events forwarded and the time since the run began.

--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -34,12 +34,15 @@
 	relay        *Relay
 	requestID    string
 	fingerprints []poison.Fingerprint
+	parts        []poison.Part
 	endpoint     directory.Endpoint
 	stage        Stage
 	// isolated is true when the request runs as a suspect, and so without another suspect
 	// on the endpoint.
 	isolated  bool
 	startTime time.Time
+	// events counts the events of the response that were forwarded.
+	events int
 	// knownCrashes are the crashes that were known when the run started, for each
 	// fingerprint.
 	knownCrashes [][]poison.CrashID
@@ -62,7 +65,7 @@
 
 func (r *Relay) beginRun(j *job, endpoint directory.Endpoint, stage Stage, isolated bool) run {
 	u := run{
-		relay: r, requestID: j.call.ID, fingerprints: j.fingerprints, endpoint: endpoint, stage: stage, isolated: isolated,
+		relay: r, requestID: j.call.ID, fingerprints: j.fingerprints, parts: j.call.Parts, endpoint: endpoint, stage: stage, isolated: isolated,
 		startTime: r.config.Now(),
 	}
 	for _, f := range j.fingerprints {
@@ -203,7 +206,8 @@
 func (u run) logFields(more ...any) []any {
 	return append([]any{
 		"request_id", u.requestID, "fingerprint", u.fingerprints[0].String(), "endpoint", u.endpoint.Name,
-		"born", u.endpoint.Born, "stage", u.stage,
+		"born", u.endpoint.Born, "stage", u.stage, "parts", poison.FormatParts(u.parts), "events", u.events,
+		"ran_ms", u.relay.config.Now().Sub(u.startTime).Milliseconds(),
 	}, more...)
 }
 
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -367,7 +367,10 @@
 	}
 	before := m.stream.eventCount
 	outputTokens := func() int { return (m.stream.eventCount - before) * max(j.service.Engine.TokensPerEvent, 1) }
-	m.stream.onEvent = func() { reservation.SetOutputTokens(outputTokens()) }
+	m.stream.onEvent = func() {
+		run.events++
+		reservation.SetOutputTokens(outputTokens())
+	}
 	err = m.stream.forward(response, r.config.Now, cancelOnStall(cancel))
 	outcome := dispatch.Outcome{OutputTokens: outputTokens()}
 	if err == nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -61,6 +61,8 @@
 	// ExpectedTokens is the output size that the caller expects, 0 if unknown.
 	ExpectedTokens int
 	Prefixes       []dispatch.PrefixHash
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []poison.Part
 	// LastEvent is the last event of an earlier response that the caller has received, or
 	// NoEvent.
 	LastEvent int64
