Condemn the parts of prompts that crash endpoints

Callers saw streams break off one after the other: requests that share nothing but a part of their prompts crashed each endpoint that began to answer them, and took the runs and KV caches of a dozen other requests along each time.

Cause: a request is recognized by its own fingerprint, so each of these requests began without a record. Class of fault: what is learnt of the whole is kept under the whole, when one feature of it that others share is the cause.

Change: PartRegister judges parts. Runs that end with their endpoint before they have written for 250 ms count against the parts of their prompts. A part is condemned when consecutive runs of different requests crashed their endpoints while other runs of the service survive; it then explains the crashes of the parts beside it, so a part that most prompts share stays clear. Records of crashes and survivals are broadcast, those of condemned parts kept in the store. Requests are judged before they queue and again before prefill and decode.

Ruled out: the existing register with parts for fingerprints (see docs/DESIGN.md).

--- a/pkg/daemon/crash_records.go
+++ b/pkg/daemon/crash_records.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/turmerictide/turmerictide/pkg/member"
 	"github.com/turmerictide/turmerictide/pkg/poison"
+	"github.com/turmerictide/turmerictide/pkg/relay"
 )
 
 // broadcastCrashRecord sends a crash record of a request to the other daemons.
@@ -36,3 +37,34 @@
 	p.log.Info("crash record of a request was received", "fingerprint", record.Fingerprint.String(), "ends", len(record.Crashes),
 		"cleared", len(record.Cleared), "verdict", verdict.String(), "origin", origin)
 }
+
+// broadcastPartRecord sends a record of prompt parts to the other daemons.
+func (d *PlatformDaemon) broadcastPartRecord(record poison.PartRecord) {
+	payload, err := poison.EncodePartRecord(d.now(), record)
+	if err != nil {
+		d.log.Error(err, "gossip message was not encoded")
+		return
+	}
+	d.members.Broadcast(member.GossipPromptPart, payload)
+}
+
+// handlePartRecord processes a record of prompt parts from a peer, and reports whether to
+// forward it. Only one that changes the evidence is forwarded.
+func (d *PlatformDaemon) handlePartRecord(origin string, payload []byte) bool {
+	record, err := poison.DecodePartRecord(d.now(), payload)
+	if err != nil {
+		return false
+	}
+	return d.applyPartRecord(record, origin)
+}
+
+// applyPartRecord applies the record of another daemon, and logs the verdicts that it changes.
+// It reports whether the evidence has changed.
+func (d *PlatformDaemon) applyPartRecord(record poison.PartRecord, origin string) bool {
+	now := d.now()
+	isChanged := d.parts.Apply(now, record)
+	for _, change := range d.parts.TakeChanges(now) {
+		relay.LogPartChange(d.log.WithValues("origin", origin), change)
+	}
+	return isChanged
+}
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -49,6 +49,7 @@
 	notices        *relay.NoticeHandler
 	retries        *retry.Pool
 	crashRecords   *poison.Keeper
+	parts          *poison.PartRegister
 	relay          *relay.Relay
 	orders         *orders
 	callers        *callerConnections
@@ -97,8 +98,10 @@
 	d.directory = directory.New(platform.Format, d.stateChanged, now, log.WithName("directory"))
 	d.registration = member.NewRegistration(metadata, d.self, log.WithName("member"))
 	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
+	d.parts = poison.NewPartRegister()
 	d.crashRecords = poison.NewKeeper(poison.KeeperConfig{
 		Store: metadata, Host: d.self.Host, Register: d.poison, OnRecord: d.applyCrashRecord, Now: now, Log: log.WithName("poison"),
+		Parts: d.parts, OnPartRecord: func(record poison.PartRecord, origin string) { d.applyPartRecord(record, origin) },
 	})
 	d.pool = connection.NewPool(d.connectionLimit, now)
 	d.holdoffs = holdoff.NewRegister()
@@ -108,6 +111,7 @@
 	endpoints := platform.EndpointClient{Pool: d.pool, OnNotice: d.notices.HandleNotice, Log: log.WithName("endpoint")}
 	d.orders = &orders{host: d.self.Host, leases: lease.NewAcquirer(metadata, orderLeaseTTL, now), endpoints: endpoints}
 	d.members.Handle(member.GossipLeavingEndpoint, d.handleLeavingEndpoint)
+	d.members.Handle(member.GossipPromptPart, d.handlePartRecord)
 	d.retries = retry.NewPool(retry.PoolConfig{
 		Host: d.self.Host, Publish: d.mesh.Publish, Keeper: d.retryKeeper, Size: d.retryPoolSize, Window: s.Budget.Window,
 		Now: now, Log: log.WithName("retry"),
@@ -137,6 +141,7 @@
 		Host: d.self.Host, AvailabilityZone: d.self.AvailabilityZone,
 		State: d.directory.Current, Client: d.client, Transport: endpoints.Transport(),
 		Poison: d.poison, BroadcastCrashRecord: d.publishCrashRecord, RecordInterruptedRun: d.metrics.RecordInterruptedRun, Holdoffs: d.holdoffs,
+		Parts: d.parts, BroadcastPartRecord: d.broadcastPartRecord, StorePart: d.crashRecords.EnqueuePart,
 		Daemons:     d.countPeakDaemons,
 		RetryBudget: budgetSettings(d.settings), AcquireRetry: d.retries.Acquire,
 		Now: d.now, Log: d.log.WithName("relay"), Record: d.metrics.RecordRouted,
--- a/pkg/member/service.go
+++ b/pkg/member/service.go
@@ -68,6 +68,7 @@
 	GossipPoison
 	GossipLeavingHosts
 	GossipLeavingEndpoint
+	GossipPromptPart
 )
 
 const (
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	// Each daemon writes all crashes that it has stored for a request under its own key, so
 	// that writes of two daemons never conflict.
 	recordsPrefix = "turmerictide/crashes/"
+	// partsPrefix is the prefix of the store keys of records of prompt parts. PART/HOST follows.
+	partsPrefix = "turmerictide/parts/"
 	// leaseTTL is the time to live of a lease, the longest that the platform grants. A lease is
 	// used for new entries during the first half of this time. The record of a condemned request
 	// is written again while the request is still received.
@@ -42,8 +45,30 @@
 	Register *Register
 	// OnRecord is called with each new record in the store and the host that wrote it.
 	OnRecord func(record CrashRecord, origin string)
-	Now      func() time.Time
-	Log      logr.Logger
+	// Parts and OnPartRecord are the same for parts of prompts.
+	Parts        *PartRegister
+	OnPartRecord func(record PartRecord, origin string)
+	Now          func() time.Time
+	Log          logr.Logger
+}
+
+// recordKey identifies a record of this daemon: the prefix of its store key and the fingerprint
+// or the part.
+type recordKey struct {
+	prefix string
+	id     uint64
+}
+
+func fingerprintKey(f Fingerprint) recordKey {
+	return recordKey{prefix: recordsPrefix, id: uint64(f)}
+}
+
+func partKey(p Part) recordKey {
+	return recordKey{prefix: partsPrefix, id: uint64(p)}
+}
+
+func (r recordKey) storePrefix() string {
+	return r.prefix + strconv.FormatUint(r.id, 16) + "/"
 }
 
 // Keeper writes crash records to the platform's store and reads those of all daemons. The
@@ -58,18 +83,22 @@
 	leaseGrantedAt time.Time
 
 	mu     sync.Mutex
-	queued map[Fingerprint]bool
+	queued map[recordKey]bool
 	// writtenAt are the times of this daemon's last writes of records that have not expired.
-	writtenAt map[Fingerprint]time.Time
+	writtenAt map[recordKey]time.Time
 	// readRevisions are the revisions of the entries that were read, by key.
 	readRevisions map[string]store.Revision
+	// partReadAt are the times when the latest records of parts were read, by the prefix of
+	// their store keys.
+	partReadAt map[string]time.Time
 }
 
 // NewKeeper returns a Keeper. Serve must run for it to write.
 func NewKeeper(config KeeperConfig) *Keeper {
 	return &Keeper{
 		config: config, done: make(chan struct{}), wake: make(chan struct{}, 1),
-		queued: map[Fingerprint]bool{}, writtenAt: map[Fingerprint]time.Time{}, readRevisions: map[string]store.Revision{},
+		queued: map[recordKey]bool{}, writtenAt: map[recordKey]time.Time{}, readRevisions: map[string]store.Revision{},
+		partReadAt: map[string]time.Time{},
 	}
 }
 
@@ -82,12 +111,27 @@
 // not written: most requests that ran on a crashed endpoint complete when retried, and one
 // crash that is not cleared does not condemn a request.
 func (k *Keeper) Enqueue(record CrashRecord) {
-	if len(record.Crashes) == 0 {
-		return
+	if len(record.Crashes) > 0 {
+		k.enqueue(fingerprintKey(record.Fingerprint))
 	}
+}
+
+// EnqueuePart schedules the record of a condemned part for writing, unless a daemon has written
+// one that will last for some time.
+func (k *Keeper) EnqueuePart(p Part) {
+	key := partKey(p)
+	k.mu.Lock()
+	readAt, ok := k.partReadAt[key.storePrefix()]
+	k.mu.Unlock()
+	if !ok || k.config.Now().Sub(readAt) >= CondemnationTTL/2 {
+		k.enqueue(key)
+	}
+}
+
+func (k *Keeper) enqueue(key recordKey) {
 	k.mu.Lock()
 	if len(k.queued) < maxQueuedRecords {
-		k.queued[record.Fingerprint] = true
+		k.queued[key] = true
 	}
 	k.mu.Unlock()
 	k.signal()
@@ -106,7 +150,10 @@
 	now := k.config.Now()
 	for key, entry := range content.Entries {
 		if suffix, ok := strings.CutPrefix(key, recordsPrefix); ok {
-			k.readEntry(key, suffix, entry)
+			k.readEntry(key, suffix, entry, k.decodeCrashes)
+		}
+		if suffix, ok := strings.CutPrefix(key, partsPrefix); ok {
+			k.readEntry(key, suffix, entry, k.decodePart)
 		}
 	}
 	k.mu.Lock()
@@ -116,18 +163,24 @@
 			delete(k.readRevisions, key)
 		}
 	}
-	for f, at := range k.writtenAt {
-		switch _, ok := content.Entries[k.key(f)]; {
+	for prefix, at := range k.partReadAt {
+		if now.Sub(at) > CondemnationTTL {
+			delete(k.partReadAt, prefix)
+		}
+	}
+	for key, at := range k.writtenAt {
+		switch _, ok := content.Entries[k.storeKey(key)]; {
 		case now.Sub(at) > CondemnationTTL:
-			delete(k.writtenAt, f)
+			delete(k.writtenAt, key)
 		case !ok && now.Sub(at) > rewriteThreshold && content.Revision > 0:
-			k.queued[f] = true
+			k.queued[key] = true
 			k.signal()
 		}
 	}
 }
 
-func (k *Keeper) readEntry(key, suffix string, entry store.Entry) {
+// readEntry passes an entry that was not read before to decode, with the host that wrote it.
+func (k *Keeper) readEntry(key, suffix string, entry store.Entry, decode func(entry store.Entry, origin string) error) {
 	k.mu.Lock()
 	wasRead := k.readRevisions[key] == entry.Revision
 	k.readRevisions[key] = entry.Revision
@@ -135,17 +188,37 @@
 	if wasRead {
 		return
 	}
+	_, origin, _ := strings.Cut(suffix, "/")
+	if err := decode(entry, origin); err != nil {
+		k.config.Log.Info("cannot decode a crash record in the store", "key", key, "error", err.Error())
+	}
+}
+
+func (k *Keeper) decodeCrashes(entry store.Entry, origin string) error {
 	record, err := DecodeCrashRecord(k.config.Now(), entry.Value)
 	if err != nil {
-		k.config.Log.Info("cannot decode a crash record in the store", "key", key, "error", err.Error())
-		return
+		return err
 	}
-	_, origin, _ := strings.Cut(suffix, "/")
 	k.config.OnRecord(record, origin)
+	return nil
 }
 
-func (k *Keeper) key(f Fingerprint) string {
-	return recordsPrefix + f.String() + "/" + k.config.Host
+func (k *Keeper) decodePart(entry store.Entry, origin string) error {
+	now := k.config.Now()
+	record, err := DecodePartRecord(now, entry.Value)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.partReadAt[strings.TrimSuffix(entry.Key, origin)] = now
+	k.mu.Unlock()
+	k.config.OnPartRecord(record, origin)
+	return nil
+}
+
+// storeKey returns the key under which this daemon stores a record.
+func (k *Keeper) storeKey(key recordKey) string {
+	return key.storePrefix() + k.config.Host
 }
 
 // Serve writes queued records until ctx is done.
@@ -201,33 +274,33 @@
 	now := k.config.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, f := range batch {
+	for _, key := range batch {
 		if err != nil {
-			k.queued[f] = true
+			k.queued[key] = true
 		} else {
-			k.writtenAt[f] = now
+			k.writtenAt[key] = now
 		}
 	}
 	return err
 }
 
 // dequeueBatch removes the records for one call to the store from the queue.
-func (k *Keeper) dequeueBatch() []Fingerprint {
-	var batch []Fingerprint
+func (k *Keeper) dequeueBatch() []recordKey {
+	var batch []recordKey
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for f := range k.queued {
+	for key := range k.queued {
 		if len(batch) == maxPutsPerCommit {
 			break
 		}
-		batch = append(batch, f)
-		delete(k.queued, f)
+		batch = append(batch, key)
+		delete(k.queued, key)
 	}
 	return batch
 }
 
-// commit writes the current records of some fingerprints.
-func (k *Keeper) commit(ctx context.Context, batch []Fingerprint) error {
+// commit writes the current records with some keys.
+func (k *Keeper) commit(ctx context.Context, batch []recordKey) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	lease, err := k.currentLease(ctx)
@@ -235,12 +308,12 @@
 		return err
 	}
 	puts := make([]store.Put, 0, len(batch))
-	for _, f := range batch {
-		value, err := EncodeCrashRecord(k.config.Now(), k.config.Register.CrashRecord(f))
+	for _, key := range batch {
+		value, err := k.encode(key)
 		if err != nil {
 			return err
 		}
-		puts = append(puts, store.Put{Key: k.key(f), Value: value, Lease: lease})
+		puts = append(puts, store.Put{Key: k.storeKey(key), Value: value, Lease: lease})
 	}
 	if _, err := k.config.Store.Commit(ctx, store.Commit{Puts: puts}); err != nil {
 		k.leaseGrantedAt = time.Time{}
@@ -249,3 +322,11 @@
 	k.config.Log.Info("crash records were written", "marks", len(batch))
 	return nil
 }
+
+func (k *Keeper) encode(key recordKey) ([]byte, error) {
+	now := k.config.Now()
+	if key.prefix == partsPrefix {
+		return EncodePartRecord(now, k.config.Parts.Record(Part(key.id)))
+	}
+	return EncodeCrashRecord(now, k.config.Register.CrashRecord(Fingerprint(key.id)))
+}
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -20,6 +21,9 @@
 	return strconv.FormatUint(uint64(p), 16)
 }
 
+// anyPart stands for every part in the survivals of a scope.
+const anyPart Part = 0
+
 // maxLoggedParts limits the parts in one log line.
 const maxLoggedParts = 8
 
@@ -35,3 +39,56 @@
 	}
 	return strings.Join(names, ",")
 }
+
+// Scope is a stage of a service. A run shows nothing about the runs of another scope.
+type Scope string
+
+// NewScope returns the scope of a stage.
+func NewScope(service, stage string) Scope {
+	return Scope(service + "/" + stage)
+}
+
+// PartCrash is the crash of an endpoint during a run that had not yet survived.
+type PartCrash struct {
+	Endpoint string
+	// Born is the start time of the endpoint's incarnation, or zero if it is not known.
+	Born  time.Time
+	Scope Scope
+	// Request is the fingerprint of the request that ran.
+	Request Fingerprint
+	// Isolated is true when the request ran as a suspect, and so without another suspect on
+	// the endpoint.
+	Isolated     bool
+	RunStartedAt time.Time
+	CrashedAt    time.Time
+	// Parts are the parts of the prompt, in order.
+	Parts []Part
+}
+
+// Survival is the latest run of a scope whose prompt contained a part and that its endpoint
+// survived.
+type Survival struct {
+	Part         Part
+	Scope        Scope
+	RunStartedAt time.Time
+}
+
+// PartRecord contains crashes and survivals. Daemons send it to each other.
+type PartRecord struct {
+	Crashes   []PartCrash
+	Survivals []Survival
+}
+
+// PartEvidence is what a verdict on a part is based on, without the crashes that a survival or
+// another part explains.
+type PartEvidence struct {
+	Part    Part
+	Verdict Verdict
+	// Score is the weighted number of consecutive crashes.
+	Score     int
+	Crashes   int
+	Requests  int
+	Endpoints int
+	// Survived is true if a run with the part is known that its endpoint survived.
+	Survived bool
+}
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
@@ -41,8 +44,12 @@
 	// on the endpoint.
 	isolated  bool
 	startTime time.Time
-	// events counts the events of the response that were forwarded.
-	events int
+	// events counts the events of the response that were forwarded, the first of them at
+	// firstEventAt.
+	events       int
+	firstEventAt time.Time
+	// survived is true when the run has shown that no part of its prompt crashes endpoints.
+	survived bool
 	// knownCrashes are the crashes that were known when the run started, for each
 	// fingerprint.
 	knownCrashes [][]poison.CrashID
@@ -74,8 +81,41 @@
 	return u
 }
 
+// survivalDelay is the time after the first event from which a crash of the endpoint is not
+// put down to the prompt of the run.
+const survivalDelay = 250 * time.Millisecond
+
+// recordEvent records that an event was forwarded.
+func (u *run) recordEvent(now time.Time) {
+	if u.events == 0 {
+		u.firstEventAt = now
+	}
+	u.events++
+	if now.Sub(u.firstEventAt) >= survivalDelay {
+		u.recordSurvival()
+	}
+}
+
+// recordSurvival records that the endpoint survived the parts of the prompt.
+func (u *run) recordSurvival() {
+	if u.survived || len(u.parts) == 0 {
+		return
+	}
+	u.survived = true
+	r := u.relay
+	if record, ok := r.config.Parts.RecordSurvival(u.scope(), u.parts, u.startTime); ok {
+		r.config.BroadcastPartRecord(record)
+		r.logPartChanges(r.config.Now())
+	}
+}
+
+func (u run) scope() poison.Scope {
+	return poison.NewScope(u.endpoint.Service, string(u.stage))
+}
+
 // recordCompletion clears the crashes that were known when the run started.
 func (u run) recordCompletion() {
+	u.recordSurvival()
 	r := u.relay
 	for i, crashes := range u.knownCrashes {
 		if len(crashes) > 0 {
@@ -190,9 +230,52 @@
 		r.config.BroadcastCrashRecord(record)
 		crashes = max(crashes, len(record.Crashes))
 	}
+	u.recordPartCrash(now, crash)
 	verdict, _ := r.worstVerdict(now, u.fingerprints)
 	r.config.Log.Info("endpoint crashed while it ran the request",
-		u.logFields("known_by", evidence, "alone", u.isolated, "ends", crashes, "verdict", verdict.String())...)
+		u.logFields("known_by", evidence, "alone", u.isolated, "ends", crashes, "verdict", verdict.String(), "part_scores", u.partScores(now))...)
+}
+
+// recordPartCrash records a crash against the parts of the prompt, unless the run has survived
+// them.
+func (u run) recordPartCrash(now time.Time, crash poison.Crash) {
+	if u.survived || len(u.parts) == 0 {
+		return
+	}
+	r := u.relay
+	r.config.BroadcastPartRecord(r.config.Parts.AddCrash(now, poison.PartCrash{
+		Endpoint: crash.Endpoint, Born: crash.Born, Scope: u.scope(), Request: u.fingerprints[0], Isolated: crash.Isolated,
+		RunStartedAt: crash.RunStartedAt, CrashedAt: crash.CrashedAt, Parts: u.parts,
+	}))
+	if verdict, part, _ := r.config.Parts.Verdict(now, u.parts); verdict == poison.VerdictCondemned {
+		r.config.StorePart(part)
+	}
+	r.logPartChanges(now)
+}
+
+// partScores returns the scores of the parts of the prompt for the log.
+func (u run) partScores(now time.Time) string {
+	var scores []string
+	for _, p := range u.parts[:min(len(u.parts), maxLoggedScores)] {
+		scores = append(scores, strconv.Itoa(u.relay.config.Parts.Evidence(now, p).Score))
+	}
+	return strings.Join(scores, ",")
+}
+
+// maxLoggedScores limits the parts whose scores are in one log line.
+const maxLoggedScores = 8
+
+// logPartChanges logs the verdicts on parts of prompts that have changed.
+func (r *Relay) logPartChanges(now time.Time) {
+	for _, e := range r.config.Parts.TakeChanges(now) {
+		LogPartChange(r.config.Log, e)
+	}
+}
+
+// LogPartChange logs a verdict on a part of prompts and its evidence.
+func LogPartChange(log logr.Logger, e poison.PartEvidence) {
+	log.Info("verdict on a prompt part has changed", "part", e.Part.String(), "verdict", e.Verdict.String(), "score", e.Score,
+		"crashes", e.Crashes, "requests", e.Requests, "endpoints", e.Endpoints, "survived_before", e.Survived)
 }
 
 func (u run) logInterruption(err error) {
@@ -236,8 +319,13 @@
 func (r *Relay) checkVerdict(j *job) (poison.Verdict, error) {
 	now := r.config.Now()
 	verdict, until := r.worstVerdict(now, j.fingerprints)
+	partVerdict, part, partUntil := r.config.Parts.Verdict(now, j.call.Parts)
+	if partVerdict == poison.VerdictCondemned {
+		r.recordPartRejection(now, j, part)
+		return partVerdict, &Fault{Cause: CausePoisoned, RetryAfter: partUntil.Sub(now)}
+	}
 	if verdict != poison.VerdictCondemned {
-		return verdict, nil
+		return max(verdict, partVerdict), nil
 	}
 	for _, f := range j.fingerprints {
 		if record, ok := r.config.Poison.RecordRejection(now, f); ok {
@@ -246,3 +334,13 @@
 	}
 	return verdict, &Fault{Cause: CausePoisoned, RetryAfter: until.Sub(now)}
 }
+
+// recordPartRejection extends the condemnation of a part whose request is rejected.
+func (r *Relay) recordPartRejection(now time.Time, j *job, part poison.Part) {
+	record, ok := r.config.Parts.RecordRejection(now, part)
+	if ok {
+		r.config.BroadcastPartRecord(record)
+		r.config.StorePart(part)
+	}
+	r.config.Log.V(1).Info("request with a condemned prompt part is rejected", "request_id", j.call.ID, "part", part.String())
+}
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/directory"
 )
 
 // ReadEvents returns the complete events of a stream with their numbers, and the error
@@ -26,3 +29,13 @@
 		}
 	}
 }
+
+// CrashAfterEvents simulates a decode run of a call that forwards events at the given times and
+// whose endpoint then crashes.
+func (r *Relay) CrashAfterEvents(c *Call, endpoint directory.Endpoint, events ...time.Time) {
+	run := r.beginRun(&job{call: c, fingerprints: fingerprintsOf(c)}, endpoint, StageDecode, false)
+	for _, at := range events {
+		run.recordEvent(at)
+	}
+	run.recordCrash(r.config.Now(), "test")
+}
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -368,7 +368,7 @@
 	before := m.stream.eventCount
 	outputTokens := func() int { return (m.stream.eventCount - before) * max(j.service.Engine.TokensPerEvent, 1) }
 	m.stream.onEvent = func() {
-		run.events++
+		run.recordEvent(r.config.Now())
 		reservation.SetOutputTokens(outputTokens())
 	}
 	err = m.stream.forward(response, r.config.Now, cancelOnStall(cancel))
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -125,6 +125,12 @@
 	Client           *dispatch.Client
 	Transport        Transport
 	Poison           *poison.Register
+	// Parts determines the parts of prompts that crash endpoints.
+	Parts *poison.PartRegister
+	// BroadcastPartRecord sends a record of parts of prompts to the other daemons.
+	BroadcastPartRecord func(poison.PartRecord)
+	// StorePart stores the record of a condemned part for daemons that start later.
+	StorePart func(poison.Part)
 	// Holdoffs contains the hold-offs that endpoints have requested from this host.
 	Holdoffs *holdoff.Register
 	// RecordInterruptedRun counts a run that ended without a complete response.
