Record and log the rate limits that servers name

No log line said that a server named a limit, so hosts that do not read it and hosts that each keep to it for themselves looked alike. Nothing is decided by it yet.

--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -26,6 +26,7 @@
 	"github.com/turmerictide/turmerictide/pkg/member"
 	"github.com/turmerictide/turmerictide/pkg/metric"
 	"github.com/turmerictide/turmerictide/pkg/poison"
+	"github.com/turmerictide/turmerictide/pkg/ratelimit"
 	"github.com/turmerictide/turmerictide/pkg/relay"
 	"github.com/turmerictide/turmerictide/pkg/retry"
 	"github.com/turmerictide/turmerictide/pkg/settings"
@@ -46,6 +47,7 @@
 	directory      *directory.Directory
 	pool           *connection.Pool
 	holdoffs       *holdoff.Register
+	limits         *ratelimit.Register
 	notices        *relay.NoticeHandler
 	retries        *retry.Pool
 	crashRecords   *poison.Keeper
@@ -105,10 +107,11 @@
 	})
 	d.pool = connection.NewPool(d.connectionLimit, now)
 	d.holdoffs = holdoff.NewRegister()
+	d.limits = ratelimit.NewRegister()
 	d.notices = &relay.NoticeHandler{
-		Directory: d.directory, Holdoffs: d.holdoffs, BroadcastLeaving: d.broadcastLeavingEndpoint, Now: now, Log: log.WithName("endpoint"),
+		Directory: d.directory, Holdoffs: d.holdoffs, Limits: d.limits, BroadcastLeaving: d.broadcastLeavingEndpoint, Now: now, Log: log.WithName("endpoint"),
 	}
-	endpoints := platform.EndpointClient{Pool: d.pool, OnNotice: d.notices.HandleNotice, Log: log.WithName("endpoint")}
+	endpoints := platform.EndpointClient{Pool: d.pool, OnNotice: d.notices.HandleNotice, Now: now, Log: log.WithName("endpoint")}
 	d.orders = &orders{host: d.self.Host, leases: lease.NewAcquirer(metadata, orderLeaseTTL, now), endpoints: endpoints}
 	d.members.Handle(member.GossipLeavingEndpoint, d.handleLeavingEndpoint)
 	d.members.Handle(member.GossipPromptPart, d.handlePartRecord)
@@ -359,6 +362,7 @@
 		}
 		d.pool.Sweep(now)
 		d.holdoffs.Sweep(now)
+		d.limits.Sweep(now, d.isCurrent)
 		d.directory.Tick(now)
 		d.pollPeer(now)
 		if state := d.directory.Current(); state != nil && state.Config.Limits.IdleTimeout > 0 {
@@ -367,6 +371,16 @@
 	}
 }
 
+// isCurrent reports whether an incarnation of an endpoint is registered.
+func (d *PlatformDaemon) isCurrent(endpoint string, born time.Time) bool {
+	state := d.directory.Current()
+	if state == nil {
+		return false
+	}
+	e, ok := state.Endpoints[endpoint]
+	return ok && e.Born.Equal(born)
+}
+
 func (d *PlatformDaemon) newSupervisor() *suture.Supervisor {
 	return newTree(d.log, []branch{
 		{"links", []suture.Service{serviceFunc(d.router.Run)}},
--- a/pkg/relay/notice.go
+++ b/pkg/relay/notice.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/holdoff"
+	"github.com/turmerictide/turmerictide/pkg/ratelimit"
 )
 
 // Notice is what an endpoint reports about itself in the header of a response.
@@ -16,6 +17,12 @@
 	// HoldOff is the time for which the endpoint accepts no requests from this host, 0 if it
 	// requests no hold-off.
 	HoldOff time.Duration
+	// Limited is true when the endpoint names a rate limit for all hosts together. RateLimit is
+	// the limit in requests a second, 0 if it cannot be read.
+	Limited   bool
+	RateLimit float64
+	// SentAt is the time when the request was sent.
+	SentAt time.Time
 }
 
 // NoticeHandler processes notices of endpoints. A drain notice applies to all daemons. A
@@ -23,6 +30,7 @@
 type NoticeHandler struct {
 	Directory *directory.Directory
 	Holdoffs  *holdoff.Register
+	Limits    *ratelimit.Register
 	// BroadcastLeaving sends a drain notice for an incarnation of an endpoint to the owners
 	// of the service's shards and to all other daemons.
 	BroadcastLeaving func(service string, incarnation directory.Incarnation)
@@ -42,6 +50,18 @@
 		n.Log.Info("endpoint requested a hold-off", "endpoint", endpoint.Name,
 			"asked_ms", notice.HoldOff.Milliseconds(), "held_off_ms", until.Sub(now).Milliseconds())
 	}
+	if !notice.Limited || notice.RateLimit > 0 {
+		n.recordLimit(now, endpoint, notice)
+	}
+}
+
+// recordLimit stores the rate limit that an endpoint names, or its end.
+func (n *NoticeHandler) recordLimit(now time.Time, endpoint directory.Endpoint, notice Notice) {
+	limit := ratelimit.Limit{Endpoint: endpoint.Name, Born: endpoint.Born, Rate: notice.RateLimit, HeardAt: now}
+	if !n.Limits.Record(limit, notice.SentAt) {
+		return
+	}
+	n.Log.Info("rate limit of endpoint has changed", "endpoint", endpoint.Name, "born", endpoint.Born, "requests_per_second", notice.RateLimit)
 }
 
 // HandlePeerLeaving processes a drain notice that a peer has broadcast. It reports whether
--- a/pkg/relay/notice_fuzz_test.go
+++ b/pkg/relay/notice_fuzz_test.go
@@ -22,6 +22,7 @@
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/holdoff"
 	"github.com/turmerictide/turmerictide/pkg/poison"
+	"github.com/turmerictide/turmerictide/pkg/ratelimit"
 	"github.com/turmerictide/turmerictide/pkg/relay"
 	"github.com/turmerictide/turmerictide/pkg/route"
 	"github.com/turmerictide/turmerictide/pkg/store"
@@ -128,7 +129,7 @@
 	holdoffs := holdoff.NewRegister()
 	h.directory = directory.New(noticeFormat, func(*directory.State) {}, time.Now, logr.Discard())
 	h.notices = &relay.NoticeHandler{
-		Directory: h.directory, Holdoffs: holdoffs, Now: time.Now, Log: logr.Discard(),
+		Directory: h.directory, Holdoffs: holdoffs, Limits: ratelimit.NewRegister(), Now: time.Now, Log: logr.Discard(),
 		BroadcastLeaving: func(_ string, incarnation directory.Incarnation) { w.broadcast(h, incarnation) },
 	}
 	h.relay = relay.New(relay.Config{
