Move the messages between daemons and keepers to package permit

The limit that all hosts keep for a server needs the same request and reply as the shared retry budget. permit.Exchange has the messages, the wait and the cooldowns, retry.Pool keeps what decides on a retry.

--- a/pkg/retry/pool.go
+++ b/pkg/retry/pool.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"go.opentelemetry.io/otel/trace"
 
-	"github.com/turmerictide/turmerictide/pkg/link"
+	"github.com/turmerictide/turmerictide/pkg/permit"
 )
 
 // Topics of the messages between daemons and the keeper of a pool.
@@ -20,15 +18,8 @@
 	TopicGrant   = "retry_loan"
 )
 
-const (
-	// replyTimeout limits the wait for the keeper's reply: a few round trips, well below the
-	// latency targets of the waiting requests.
-	replyTimeout = 60 * time.Millisecond
-	// deniedCooldown and timeoutCooldown are the times without requests to a keeper after it
-	// denied a retry token or did not reply.
-	deniedCooldown  = 200 * time.Millisecond
-	timeoutCooldown = time.Second
-)
+// deniedCooldown is the time without requests to a keeper after it denied a retry token.
+const deniedCooldown = 200 * time.Millisecond
 
 type PoolConfig struct {
 	Host string
@@ -50,16 +41,11 @@
 // grant rises from 0 to firstWindowFactor during its first window and is 1 afterwards, since
 // the previous keeper may have granted all tokens of its pool.
 type Pool struct {
-	config PoolConfig
+	config   PoolConfig
+	exchange *permit.Exchange
 
 	mu    sync.Mutex
 	pools map[string]*servicePool
-	// lastSerial is the number of the latest request to a keeper. pending contains the reply
-	// channels of the requests without a reply, by number.
-	lastSerial uint64
-	pending    map[uint64]chan bool
-	// cooldownUntil is the time, by service, until which no requests go to the keeper.
-	cooldownUntil map[string]time.Time
 }
 
 // servicePool is the pool of one service, as its keeper stores it.
@@ -69,28 +55,19 @@
 	deposits windowCounter
 }
 
-type wireAcquire struct {
-	_       struct{} `cbor:",toarray"`
-	Serial  uint64
-	Service string
-	Deposit float64
-}
-
-type wireGrant struct {
-	_       struct{} `cbor:",toarray"`
-	Serial  uint64
-	Granted bool
-}
-
 // NewPool returns a Pool that is not yet the keeper of any service.
 func NewPool(config PoolConfig) *Pool {
-	return &Pool{config: config, pools: map[string]*servicePool{}, pending: map[uint64]chan bool{}, cooldownUntil: map[string]time.Time{}}
+	p := &Pool{config: config, pools: map[string]*servicePool{}}
+	p.exchange = permit.NewExchange(permit.Config{
+		Host: config.Host, RequestTopic: TopicAcquire, ReplyTopic: TopicGrant, Publish: config.Publish, Keeper: config.Keeper,
+		Grant: p.Grant, DeniedCooldown: func(string) time.Duration { return deniedCooldown }, Now: config.Now, Log: config.Log,
+	})
+	return p
 }
 
 // Route adds the message handlers to a router, for messages from a subscriber.
 func (p *Pool) Route(router *message.Router, subscriber message.Subscriber) {
-	router.AddConsumerHandler(TopicAcquire, TopicAcquire, subscriber, p.handleAcquire)
-	router.AddConsumerHandler(TopicGrant, TopicGrant, subscriber, p.handleGrant)
+	p.exchange.Route(router, subscriber)
 }
 
 // UpdateServices opens the pools of those services that this daemon is the keeper of, and
@@ -145,96 +122,6 @@
 // tokens of budget in the pool. It returns false when the keeper has none or does not reply in
 // time.
 func (p *Pool) Acquire(ctx context.Context, service string, budget *LocalBudget, allowance Allowance) bool {
-	now := p.config.Now()
-	keeper := p.config.Keeper(service)
-	switch keeper {
-	case "":
-		return false
-	case p.config.Host:
-		return p.Grant(now, service, budget.ReleaseUnused(now, allowance))
-	}
-	serial, reply, ok := p.startRequest(now, service)
-	if !ok {
-		return false
-	}
-	defer p.removeRequest(serial)
-	if err := p.send(keeper, TopicAcquire, wireAcquire{Serial: serial, Service: service, Deposit: budget.ReleaseUnused(now, allowance)}); err != nil {
-		p.config.Log.V(1).Info("message was dropped", "topic", TopicAcquire, "host", keeper, "error", err.Error())
-		return false
-	}
-	timer := time.NewTimer(replyTimeout)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case granted := <-reply:
-		if !granted {
-			p.startCooldown(now.Add(deniedCooldown), service)
-		}
-		return granted
-	case <-timer.C:
-		p.startCooldown(now.Add(timeoutCooldown), service)
-		p.config.Log.Info("keeper of the retry budget did not reply", "keeper", keeper, "service", service)
-		return false
-	}
-}
-
-// startRequest registers a request to the keeper and returns its number and the channel of the
-// reply. It returns false during a cooldown.
-func (p *Pool) startRequest(now time.Time, service string) (uint64, chan bool, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Before(p.cooldownUntil[service]) {
-		return 0, nil, false
-	}
-	p.lastSerial++
-	reply := make(chan bool, 1)
-	p.pending[p.lastSerial] = reply
-	return p.lastSerial, reply, true
-}
-
-func (p *Pool) removeRequest(serial uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.pending, serial)
-}
-
-func (p *Pool) startCooldown(until time.Time, service string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cooldownUntil[service] = until
-}
-
-func (p *Pool) send(host, topic string, body any) error {
-	payload, err := link.Encode(body)
-	if err != nil {
-		return errors.Newf("encode %s: %w", topic, err)
-	}
-	return p.config.Publish(topic, link.NewMessage(host, payload, trace.SpanContext{}))
-}
-
-func (p *Pool) handleAcquire(m *message.Message) error {
-	var wire wireAcquire
-	if err := link.Decode(m.Payload, &wire); err != nil {
-		return nil
-	}
-	granted := p.Grant(p.config.Now(), wire.Service, wire.Deposit)
-	if err := p.send(link.Host(m), TopicGrant, wireGrant{Serial: wire.Serial, Granted: granted}); err != nil {
-		p.config.Log.V(1).Info("message was dropped", "topic", TopicGrant, "host", link.Host(m), "error", err.Error())
-	}
-	return nil
-}
-
-func (p *Pool) handleGrant(m *message.Message) error {
-	var wire wireGrant
-	if err := link.Decode(m.Payload, &wire); err != nil {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if reply, ok := p.pending[wire.Serial]; ok {
-		delete(p.pending, wire.Serial)
-		reply <- wire.Granted
-	}
-	return nil
+	result := p.exchange.Acquire(ctx, service, func(now time.Time) float64 { return budget.ReleaseUnused(now, allowance) })
+	return result == permit.Granted
 }
