Never end a resumed stream with another endpoint's failure

Callers got a stream that was framed as complete although the endpoint that was to resume it had answered 500: its response was forwarded as a second one behind the events of the first endpoint. A 200 without events and one that began at a later event ended the stream as complete too.

Cause: nothing in the writer knew that a response had begun, and the end of any response was taken for the end of the stream. Class of fault: what is checked before the first byte is not checked again when an attempt follows later.

Change: ResponseWriter begins one response only. A resumed response that does not go on at the next event, or has no further one, is a failure of its endpoint; the stream goes on where another attempt is allowed, and is truncated visibly otherwise.

--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -78,7 +78,7 @@
 	}
 	m := &modelRun{
 		relay: r, job: j, rank: rank,
-		stream: stream{job: j, lastEvent: j.call.LastEvent},
+		stream: stream{job: j, lastEvent: j.call.LastEvent, step: 1},
 	}
 	defer m.freeHandle()
 	var failure error
--- a/pkg/relay/response_writer.go
+++ b/pkg/relay/response_writer.go
@@ -38,7 +38,15 @@
 	return w.status != 0
 }
 
-func (w *ResponseWriter) writeHeader(status int, header http.Header) {
+// errSecondResponse reports that a response cannot be sent because the caller has received the
+// beginning of another one.
+var errSecondResponse = errors.New("another response has begun")
+
+// writeHeader begins the response to the caller, which can be done once.
+func (w *ResponseWriter) writeHeader(status int, header http.Header) error {
+	if w.Started() {
+		return errSecondResponse
+	}
 	target := w.writer.Header()
 	for name, values := range header {
 		target[name] = values
@@ -50,6 +58,7 @@
 	w.status = status
 	w.startTime = w.now()
 	w.writer.WriteHeader(status)
+	return nil
 }
 
 func (w *ResponseWriter) write(content []byte) error {
@@ -90,10 +99,13 @@
 	return b.body.Close()
 }
 
-// forward sends a complete response to the caller and closes its body.
+// forward sends a complete response to the caller and closes its body. It sends nothing and fails
+// if the caller has received the beginning of another response.
 func (w *ResponseWriter) forward(response *Response) error {
 	defer func() { _ = response.Body.Close() }()
-	w.writeHeader(response.Status, response.Header)
+	if err := w.writeHeader(response.Status, response.Header); err != nil {
+		return err
+	}
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -29,6 +29,8 @@
 	// lastEvent is the number of the last event that was forwarded.
 	lastEvent  int64
 	eventCount int
+	// step is the difference between the numbers of the last two events, 1 before them.
+	step int64
 	// lastAt is the time when the last event was forwarded, maxGap the longest time
 	// between two events.
 	lastAt time.Time
@@ -45,10 +47,15 @@
 		timer = time.AfterFunc(firstEventTimeout, onStall)
 		defer timer.Stop()
 	}
+	isResumed, before := s.job.writer.Started(), s.eventCount
 	reader := newEventReader(response.Body)
 	for {
 		e, err := reader.next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken) {
+		isEnd := errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken)
+		if isEnd && isResumed && s.eventCount == before {
+			return errors.Newf("resumed stream has no further events: %w", connection.ErrBroken)
+		}
+		if isEnd {
 			return s.complete(response)
 		}
 		if err != nil {
@@ -57,6 +64,9 @@
 		if timer != nil {
 			timer.Reset(eventGapTimeout)
 		}
+		if isResumed && s.eventCount == before && e.hasID && e.id > s.lastEvent+s.step {
+			return errors.Newf("resumed stream begins at event %d after %d: %w", e.id, s.lastEvent, connection.ErrBroken)
+		}
 		if err := s.forwardEvent(response, e, now()); err != nil {
 			return err
 		}
@@ -70,7 +80,9 @@
 	}
 	writer := s.job.writer
 	if !writer.Started() {
-		writer.writeHeader(response.Status, response.Header)
+		if err := writer.writeHeader(response.Status, response.Header); err != nil {
+			return err
+		}
 	}
 	if err := writer.write(e.raw); err != nil {
 		return errors.Newf("forward event: %w", errors.Mark(err, errCallerWrite))
@@ -79,6 +91,9 @@
 		return errors.Newf("forward event: %w", errors.Mark(err, errCallerWrite))
 	}
 	if e.hasID {
+		if s.eventCount > 0 {
+			s.step = max(e.id-s.lastEvent, 1)
+		}
 		s.lastEvent = e.id
 	}
 	if s.eventCount > 0 {
@@ -102,10 +117,10 @@
 // complete finishes the response after the endpoint has finished its stream. If the stream
 // had no events, it writes the header.
 func (s *stream) complete(response *Response) error {
-	if !s.job.writer.Started() {
-		s.job.writer.writeHeader(response.Status, response.Header)
+	if s.job.writer.Started() {
+		return nil
 	}
-	return nil
+	return s.job.writer.writeHeader(response.Status, response.Header)
 }
 
 // isStream reports whether a response is a stream of events.
