Judge the messages of chat requests like parts of prompts

Its messages before the last one are judged by the same register; crashes of prefill and decode count apart, a completed stage is a survival.

TestPromiseMessageThatCrashesEnginesIsRefused goes red without the judgement, without the crashes and without the survivals. The verdict's log line moves to pkg/poison, the register to the services that both daemons share.

--- a/internal/site/promise_poison_test.go
+++ b/internal/site/promise_poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -102,3 +103,64 @@
 		})
 	}
 }
+
+// sharedChatBody returns the body of a request that shares its first messages with others.
+func sharedChatBody(shared []string, prompt string) string {
+	messages := ""
+	for _, text := range shared {
+		messages += fmt.Sprintf(`{"role":"system","content":%q},`, text)
+	}
+	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":5,"messages":[%s{"role":"user","content":%q}]}`, site.Model, messages, prompt)
+}
+
+// TestPromiseMessageThatCrashesEnginesIsRefused sends different requests that share a message on
+// which prefill engines crash.
+func TestPromiseMessageThatCrashesEnginesIsRefused(t *testing.T) {
+	s := startSite(t, site.Config{Zones: []string{"shubra", "maadi"}, EngineFlags: []string{"--tokens-per-second", "200"}})
+	var prefills []*site.Process
+	for _, p := range s.Endpoints {
+		if p.Role == ticket.RolePrefill {
+			prefills = append(prefills, p)
+			control(t, http.MethodPut, p, "switches", engine.Switches{CrashOn: "poison"}, nil)
+		}
+	}
+	bad, sound := []string{"preamble", "poison"}, []string{"preamble", "another document"}
+	restart := func() int {
+		crashes := 0
+		for _, p := range prefills {
+			if hasExited(p) {
+				crashes++
+				require.NoError(t, p.Start())
+				eventually(t, "the engine accepts connections", func() bool {
+					conn, err := net.Dial("tcp", p.Address.String())
+					if err == nil {
+						_ = conn.Close()
+					}
+					return err == nil
+				})
+				control(t, http.MethodPut, p, "switches", engine.Switches{CrashOn: "poison"}, nil)
+			}
+		}
+		return crashes
+	}
+	number := 0
+	requireServed := func() {
+		eventually(t, "a request without the message is served", func() bool {
+			number++
+			return post(t.Context(), t, chatURL(s.Daemons[number%2]), sharedChatBody(sound, fmt.Sprint("sound ", number)), callOptions{}).complete
+		})
+	}
+	requireServed()
+	for i := range 2 {
+		got := post(t.Context(), t, chatURL(s.Daemons[i%2]), sharedChatBody(bad, fmt.Sprint("bad ", i)), callOptions{})
+		require.False(t, got.complete)
+		require.NotZero(t, restart(), "request %d crashed no engine", i)
+		requireServed()
+	}
+	for i := range 6 {
+		got := post(t.Context(), t, chatURL(s.Daemons[i%2]), sharedChatBody(bad, fmt.Sprint("later ", i)), callOptions{})
+		require.Equal(t, "request_crashes_endpoints", got.code)
+	}
+	require.Zero(t, restart())
+	requireServed()
+}
--- a/pkg/daemon/crash_records.go
+++ b/pkg/daemon/crash_records.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/turmerictide/turmerictide/pkg/member"
 	"github.com/turmerictide/turmerictide/pkg/poison"
-	"github.com/turmerictide/turmerictide/pkg/relay"
 )
 
 // broadcastCrashRecord sends a crash record of a request to the other daemons.
@@ -39,32 +38,32 @@
 }
 
 // broadcastPartRecord sends a record of prompt parts to the other daemons.
-func (d *PlatformDaemon) broadcastPartRecord(record poison.PartRecord) {
-	payload, err := poison.EncodePartRecord(d.now(), record)
+func (p *peers) broadcastPartRecord(record poison.PartRecord) {
+	payload, err := poison.EncodePartRecord(p.now(), record)
 	if err != nil {
-		d.log.Error(err, "gossip message was not encoded")
+		p.log.Error(err, "gossip message was not encoded")
 		return
 	}
-	d.members.Broadcast(member.GossipPromptPart, payload)
+	p.members.Broadcast(member.GossipPromptPart, payload)
 }
 
 // handlePartRecord processes a record of prompt parts from a peer, and reports whether to
 // forward it. Only one that changes the evidence is forwarded.
-func (d *PlatformDaemon) handlePartRecord(origin string, payload []byte) bool {
-	record, err := poison.DecodePartRecord(d.now(), payload)
+func (p *peers) handlePartRecord(origin string, payload []byte) bool {
+	record, err := poison.DecodePartRecord(p.now(), payload)
 	if err != nil {
 		return false
 	}
-	return d.applyPartRecord(record, origin)
+	return p.applyPartRecord(record, origin)
 }
 
 // applyPartRecord applies the record of another daemon, and logs the verdicts that it changes.
 // It reports whether the evidence has changed.
-func (d *PlatformDaemon) applyPartRecord(record poison.PartRecord, origin string) bool {
-	now := d.now()
-	isChanged := d.parts.Apply(now, record)
-	for _, change := range d.parts.TakeChanges(now) {
-		relay.LogPartChange(d.log.WithValues("origin", origin), change)
+func (p *peers) applyPartRecord(record poison.PartRecord, origin string) bool {
+	now := p.now()
+	isChanged := p.parts.Apply(now, record)
+	for _, change := range p.parts.TakeChanges(now) {
+		poison.LogPartChange(p.log.WithValues("origin", origin), change)
 	}
 	return isChanged
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -105,7 +105,7 @@
 	d.front = front.NewFront(front.Config{
 		Host: d.settings.Daemon.Host, FrontTag: d.frontTag,
 		Client: d.client, Engine: d.engine, Plain: endpoint.NewPlainClient(), Keeper: d.keeper,
-		Poison: d.poison, BroadcastCrashRecord: d.broadcastCrashRecord,
+		Poison: d.poison, BroadcastCrashRecord: d.broadcastCrashRecord, Parts: d.parts, BroadcastPartRecord: d.broadcastPartRecord,
 		State: d.follower.Current, IsLive: d.isLive, Now: d.now, Log: d.log.WithName("front"),
 		MaxBodyBytes: d.settings.Limits.BodyBytes, Buffers: connection.NewBuffers(d.settings.Limits.BufferedBytes), Record: d.metrics.Record,
 	})
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -38,6 +38,7 @@
 	dispatcher *dispatch.Dispatcher
 	client     *dispatch.Client
 	poison     *poison.Register
+	parts      *poison.PartRegister
 	metrics    *metric.Set
 }
 
@@ -67,7 +68,7 @@
 }
 
 func newPeers(s settings.Settings, log logr.Logger, now func() time.Time, c callbacks) (*peers, error) {
-	p := &peers{settings: s, log: log, now: now, poison: poison.NewRegister()}
+	p := &peers{settings: s, log: log, now: now, poison: poison.NewRegister(), parts: poison.NewPartRegister()}
 	p.self = member.Member{
 		Host: s.Daemon.Host, AvailabilityZone: s.Daemon.AvailabilityZone,
 		Peer: s.Listen.Peer, Incarnation: member.NewIncarnation(now()), Processors: s.Machine.Processors,
@@ -126,6 +127,7 @@
 	p.client.Route(p.router, p.mesh)
 	p.members.Handle(member.GossipPressure, p.handlePressure)
 	p.members.Handle(member.GossipPoison, p.handleCrashRecord)
+	p.members.Handle(member.GossipPromptPart, p.handlePartRecord)
 }
 
 func incarnationState(m member.Member) dispatch.IncarnationState {
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -52,7 +52,6 @@
 	notices        *relay.NoticeHandler
 	retries        *retry.Pool
 	crashRecords   *poison.Keeper
-	parts          *poison.PartRegister
 	relay          *relay.Relay
 	orders         *orders
 	callers        *callerConnections
@@ -101,7 +100,6 @@
 	d.directory = directory.New(platform.Format, d.stateChanged, now, log.WithName("directory"))
 	d.registration = member.NewRegistration(metadata, d.self, log.WithName("member"))
 	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
-	d.parts = poison.NewPartRegister()
 	d.crashRecords = poison.NewKeeper(poison.KeeperConfig{
 		Store: metadata, Host: d.self.Host, Register: d.poison, OnRecord: d.applyCrashRecord, Now: now, Log: log.WithName("poison"),
 		Parts: d.parts, OnPartRecord: func(record poison.PartRecord, origin string) { d.applyPartRecord(record, origin) },
@@ -115,7 +113,6 @@
 	endpoints := platform.EndpointClient{Pool: d.pool, OnNotice: d.notices.HandleNotice, Now: now, Log: log.WithName("endpoint")}
 	d.orders = &orders{host: d.self.Host, leases: lease.NewAcquirer(metadata, orderLeaseTTL, now), endpoints: endpoints}
 	d.members.Handle(member.GossipLeavingEndpoint, d.handleLeavingEndpoint)
-	d.members.Handle(member.GossipPromptPart, d.handlePartRecord)
 	d.members.Handle(member.GossipRateLimit, d.handleLimit)
 	d.limitGate = ratelimit.NewGate(ratelimit.GateConfig{
 		Host: d.self.Host, Limits: d.limits, Publish: d.mesh.Publish, Keeper: d.limitKeeper, Share: d.limitShare,
--- a/pkg/front/chat.go
+++ b/pkg/front/chat.go
@@ -32,6 +32,8 @@
 	outputTokens int
 	prefixes     []dispatch.PrefixHash
 	fingerprint  poison.Fingerprint
+	// parts are the messages before the last one, which other requests may share.
+	parts []poison.Part
 	// knownCrashes are the crashes of requests with this fingerprint that were recorded when
 	// the last attempt began.
 	knownCrashes []poison.CrashID
@@ -137,6 +139,7 @@
 		outputTokens: outputLimit(parameters, service),
 		fingerprint:  poison.NewFingerprint([]byte(service.Name), body["messages"]),
 	}
+	job.parts = sharedMessages(body["messages"])
 	job.prefixes = hashPrefixes(parameters.Model, body["messages"])
 	job.body["max_tokens"], _ = json.Marshal(job.outputTokens)
 	job.log = f.config.Log.WithValues("request_id", job.id.String(), "caller", team.Name, "rank", service.Ranks[rank].Name, "service", service.Name)
@@ -166,6 +169,23 @@
 	return prefixes
 }
 
+// maxParts limits the messages of a prompt that are tracked.
+const maxParts = 512
+
+// sharedMessages returns the messages of a prompt without the last one, which is unique to the
+// request.
+func sharedMessages(messages []byte) []poison.Part {
+	var list []json.RawMessage
+	if json.Unmarshal(messages, &list) != nil || len(list) == 0 {
+		return nil
+	}
+	var parts []poison.Part
+	for _, message := range list[:min(len(list)-1, maxParts)] {
+		parts = append(parts, poison.NewPart(string(message)))
+	}
+	return parts
+}
+
 func (j *chatJob) call(grant dispatch.Grant) endpoint.Call {
 	return endpoint.Call{RequestID: grant.ID.String(), Priority: grant.Priority, Fencing: uint64(grant.Fencing), Body: j.body}
 }
--- a/pkg/front/chat_run.go
+++ b/pkg/front/chat_run.go
@@ -50,6 +50,8 @@
 	// kvFetched is true after a decode endpoint has fetched the KV cache.
 	kvFetched bool
 	outcome   dispatch.Outcome
+	// firstTokenAt is the time of the first token of the attempt.
+	firstTokenAt time.Time
 	// mayBeRunning is true while the decode endpoint may run the request.
 	mayBeRunning bool
 }
@@ -123,7 +125,7 @@
 // attemptChat acquires a reservation, uses it and releases it.
 func (f *Front) attemptChat(ctx context.Context, job *chatJob, response *chatResponse, exclude *string, stats *RequestStats) error {
 	job.knownCrashes = f.config.Poison.CrashIDs(job.fingerprint, "")
-	suspect, failure := f.checkPoison(job.fingerprint)
+	suspect, failure := f.checkPoison(job.fingerprint, job.parts...)
 	if failure != nil {
 		return failure
 	}
@@ -200,6 +202,7 @@
 	}
 	a.kvHandle = handle
 	a.reservation.Prefilled()
+	f.recordSurvival(a, ticket.RolePrefill)
 	return nil
 }
 
@@ -222,6 +225,7 @@
 		stream.Close()
 		if err == nil {
 			a.mayBeRunning = false
+			f.recordSurvival(a, ticket.RoleDecode)
 			return nil
 		}
 		if ctx.Err() != nil || resumes >= maxResumes || !isResumable(err) {
@@ -267,6 +271,9 @@
 			started = true
 			a.reservation.Started()
 		}
+		if a.firstTokenAt.IsZero() {
+			a.firstTokenAt = f.config.Now()
+		}
 		if err := a.response.addToken(token); err != nil {
 			return err
 		}
@@ -318,9 +325,9 @@
 	if err == nil || ctx.Err() != nil || a.outcome.Busy || !errors.IsAny(err, endpoint.ErrFailedAfterSend, endpoint.ErrNotSent) {
 		return
 	}
-	failed := a.reservation.Decode
+	failed, role := a.reservation.Decode, ticket.RoleDecode
 	if a.outcome.FailedEndpoint == a.reservation.Prefill.Name {
-		failed = a.reservation.Prefill
+		failed, role = a.reservation.Prefill, ticket.RolePrefill
 	}
 	mayHaveRun := errors.Is(err, endpoint.ErrFailedAfterSend) || (a.kvFetched && failed.Name == a.reservation.Decode.Name)
 	if !mayHaveRun {
@@ -330,6 +337,7 @@
 		return
 	}
 	f.recordCrash(a.job.log, a.job.fingerprint, failed, a.suspect, a.reservation.GrantedAt)
+	f.recordPartCrash(a, failed, role)
 }
 
 const (
--- a/pkg/front/crash.go
+++ b/pkg/front/crash.go
@@ -9,13 +9,20 @@
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
-// checkPoison reports whether a request is suspected of crashing endpoints. For a condemned
-// request it returns the fault to send to the caller.
-func (f *Front) checkPoison(fingerprint poison.Fingerprint) (bool, error) {
+// checkPoison reports whether a request, or a part of its prompt, is suspected of crashing
+// endpoints. For a condemned one it returns the fault to send to the caller.
+func (f *Front) checkPoison(fingerprint poison.Fingerprint, parts ...poison.Part) (bool, error) {
 	now := f.config.Now()
+	partVerdict, part, partUntil := f.config.Parts.Verdict(now, parts)
+	if partVerdict == poison.VerdictCondemned {
+		if record, ok := f.config.Parts.RecordRejection(now, part); ok {
+			f.config.BroadcastPartRecord(record)
+		}
+		return false, newRetryableFault(codePoisoned, "a message of this request has crashed the endpoints that ran it", partUntil.Sub(now))
+	}
 	verdict, until := f.config.Poison.Verdict(now, fingerprint)
 	if verdict != poison.VerdictCondemned {
-		return verdict == poison.VerdictSuspect, nil
+		return max(verdict, partVerdict) == poison.VerdictSuspect, nil
 	}
 	if record, ok := f.config.Poison.RecordRejection(now, fingerprint); ok {
 		f.config.BroadcastCrashRecord(record)
@@ -42,3 +49,35 @@
 		f.config.BroadcastCrashRecord(f.config.Poison.ClearCrashes(f.config.Now(), fingerprint, crashes))
 	}
 }
+
+// recordPartCrash records a crash against the messages of a request, unless the run has shown
+// that they are harmless.
+func (f *Front) recordPartCrash(a *attempt, failed ticket.Endpoint, role ticket.Role) {
+	now := f.config.Now()
+	if len(a.job.parts) == 0 || (!a.firstTokenAt.IsZero() && now.Sub(a.firstTokenAt) >= poison.SurvivalDelay) {
+		return
+	}
+	f.config.BroadcastPartRecord(f.config.Parts.AddCrash(now, poison.PartCrash{
+		Endpoint: failed.Name, Scope: poison.NewScope(a.job.service.Name, string(role)), Request: a.job.fingerprint,
+		Isolated: a.suspect, RunStartedAt: a.reservation.GrantedAt, CrashedAt: now, Parts: a.job.parts,
+	}))
+	f.logPartChanges(now)
+}
+
+// recordSurvival records that the endpoint of a stage survived the messages of a request.
+func (f *Front) recordSurvival(a *attempt, role ticket.Role) {
+	if len(a.job.parts) == 0 {
+		return
+	}
+	scope := poison.NewScope(a.job.service.Name, string(role))
+	if record, ok := f.config.Parts.RecordSurvival(scope, a.job.parts, a.reservation.GrantedAt); ok {
+		f.config.BroadcastPartRecord(record)
+		f.logPartChanges(f.config.Now())
+	}
+}
+
+func (f *Front) logPartChanges(now time.Time) {
+	for _, e := range f.config.Parts.TakeChanges(now) {
+		poison.LogPartChange(f.config.Log, e)
+	}
+}
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -44,6 +44,10 @@
 	Poison   *poison.Register
 	// BroadcastCrashRecord sends a crash record to all other daemons.
 	BroadcastCrashRecord func(poison.CrashRecord)
+	// Parts determines the messages of prompts that crash endpoints.
+	Parts *poison.PartRegister
+	// BroadcastPartRecord sends a record of messages to all other daemons.
+	BroadcastPartRecord func(poison.PartRecord)
 	// State returns the current operators' state, or nil before the first one was received.
 	State func() *ticket.State
 	// IsLive reports whether the incarnation of a front that made a claim is still running.
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 )
 
 // Part identifies one part of a prompt, whatever the rest of the prompt contains.
@@ -40,6 +41,10 @@
 	return strings.Join(names, ",")
 }
 
+// SurvivalDelay is the time after the first output from which a crash of the endpoint is not put
+// down to the prompt of a run.
+const SurvivalDelay = 250 * time.Millisecond
+
 // Scope is a stage of a service. A run shows nothing about the runs of another scope.
 type Scope string
 
@@ -92,3 +97,9 @@
 	// Survived is true if a run with the part is known that its endpoint survived.
 	Survived bool
 }
+
+// LogPartChange logs a verdict on a part of prompts and its evidence.
+func LogPartChange(log logr.Logger, e PartEvidence) {
+	log.Info("verdict on a prompt part has changed", "part", e.Part.String(), "verdict", e.Verdict.String(), "score", e.Score,
+		"crashes", e.Crashes, "requests", e.Requests, "endpoints", e.Endpoints, "survived_before", e.Survived)
+}
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-logr/logr"
 
 	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
@@ -81,17 +80,13 @@
 	return u
 }
 
-// survivalDelay is the time after the first event from which a crash of the endpoint is not
-// put down to the prompt of the run.
-const survivalDelay = 250 * time.Millisecond
-
 // recordEvent records that an event was forwarded.
 func (u *run) recordEvent(now time.Time) {
 	if u.events == 0 {
 		u.firstEventAt = now
 	}
 	u.events++
-	if now.Sub(u.firstEventAt) >= survivalDelay {
+	if now.Sub(u.firstEventAt) >= poison.SurvivalDelay {
 		u.recordSurvival()
 	}
 }
@@ -268,16 +263,10 @@
 // logPartChanges logs the verdicts on parts of prompts that have changed.
 func (r *Relay) logPartChanges(now time.Time) {
 	for _, e := range r.config.Parts.TakeChanges(now) {
-		LogPartChange(r.config.Log, e)
+		poison.LogPartChange(r.config.Log, e)
 	}
 }
 
-// LogPartChange logs a verdict on a part of prompts and its evidence.
-func LogPartChange(log logr.Logger, e poison.PartEvidence) {
-	log.Info("verdict on a prompt part has changed", "part", e.Part.String(), "verdict", e.Verdict.String(), "score", e.Score,
-		"crashes", e.Crashes, "requests", e.Requests, "endpoints", e.Endpoints, "survived_before", e.Survived)
-}
-
 func (u run) logInterruption(err error) {
 	r := u.relay
 	verdict, _ := r.worstVerdict(r.config.Now(), u.fingerprints)
