Do not take a misdirected response for the end of a rate limit

A response with status 421 may come from another server at the address, so it says nothing about the limit; the other notices are read as before. Rates are bounded in one place, the limit on tracked parts stands once.

--- a/pkg/front/chat.go
+++ b/pkg/front/chat.go
@@ -169,9 +169,6 @@
 	return prefixes
 }
 
-// maxParts limits the messages of a prompt that are tracked.
-const maxParts = 512
-
 // sharedMessages returns the messages of a prompt without the last one, which is unique to the
 // request.
 func sharedMessages(messages []byte) []poison.Part {
@@ -180,7 +177,7 @@
 		return nil
 	}
 	var parts []poison.Part
-	for _, message := range list[:min(len(list)-1, maxParts)] {
+	for _, message := range list[:min(len(list)-1, poison.MaxParts)] {
 		parts = append(parts, poison.NewPart(string(message)))
 	}
 	return parts
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -22,6 +22,9 @@
 	return strconv.FormatUint(uint64(p), 16)
 }
 
+// MaxParts limits the parts of a prompt that are tracked.
+const MaxParts = 512
+
 // anyPart stands for every part in the survivals of a scope.
 const anyPart Part = 0
 
--- a/pkg/ratelimit/gate.go
+++ b/pkg/ratelimit/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,8 +20,6 @@
 )
 
 const (
-	// maxRate limits the rates that other hosts report.
-	maxRate = 1e6
 	// askInterval is the time, in the intervals between two permits of an endpoint, in which
 	// each host that was denied one requests another.
 	askInterval       = 0.05
@@ -249,10 +246,10 @@
 // knows, which counts if this host has not heard of it yet.
 func (g *Gate) grant(now time.Time, text string, asked float64) bool {
 	wanted, ok := parseResource(text)
-	if !ok || !(asked > 0) || math.IsInf(asked, 0) {
+	if !ok || !(asked > 0) {
 		return false
 	}
-	rate := min(max(asked, minRate), maxRate)
+	rate := Bound(asked)
 	if known, ok := g.config.Limits.Rate(wanted.endpoint, time.UnixMilli(wanted.born)); ok {
 		rate = known
 	}
--- a/pkg/ratelimit/register.go
+++ b/pkg/ratelimit/register.go
@@ -13,15 +13,21 @@
 )
 
 const (
-	// minRate is the smallest rate that is used. An endpoint without requests could never
-	// report that its limit has ended.
+	// minRate and maxRate bound the rates that are used. An endpoint without requests could
+	// never report that its limit has ended.
 	minRate = 0.5
+	maxRate = 1e6
 	// endedRetention is how long the end of a limit is stored, to ignore older reports.
 	endedRetention = time.Minute
 	// rateChangeThreshold is the relative change of a limit that other hosts are told.
 	rateChangeThreshold = 0.02
 )
 
+// Bound returns the limit that is used for one that an endpoint names, in requests a second.
+func Bound(rate float64) float64 {
+	return min(max(rate, minRate), maxRate)
+}
+
 // Limit is the rate limit of an incarnation of an endpoint, as its response named it.
 type Limit struct {
 	Endpoint string
@@ -56,9 +62,6 @@
 	if l.Rate == 0 && (!isKnown || !sentAt.After(current.HeardAt)) {
 		return false
 	}
-	if l.Rate > 0 {
-		l.Rate = max(l.Rate, minRate)
-	}
 	isChanged := !isKnown || math.Abs(l.Rate-current.Rate) > rateChangeThreshold*current.Rate
 	if isKnown && !isChanged {
 		l.Rate = current.Rate
@@ -78,6 +81,9 @@
 	if !ok && l.Rate == 0 {
 		return false
 	}
+	if l.Rate > 0 {
+		l.Rate = Bound(l.Rate)
+	}
 	r.limits[l.Endpoint] = l
 	return !ok || current.Rate != l.Rate || !current.Born.Equal(l.Born)
 }
--- a/pkg/ratelimit/register_test.go
+++ b/pkg/ratelimit/register_test.go
@@ -54,11 +54,16 @@
 
 // TestLimitNeverStopsAllRequests names a limit that no request would ever lift.
 func TestLimitNeverStopsAllRequests(t *testing.T) {
+	for _, named := range []float64{0, 0.0001} {
+		r := ratelimit.NewRegister()
+		r.Record(limitAt(ratelimit.Bound(named), 0), epoch)
+		rate, ok := r.Rate("desk-1", born)
+		require.True(t, ok)
+		require.GreaterOrEqual(t, rate, 0.5)
+	}
 	r := ratelimit.NewRegister()
-	r.Record(limitAt(0.0001, 0), epoch)
-	rate, ok := r.Rate("desk-1", born)
-	require.True(t, ok)
-	require.GreaterOrEqual(t, rate, 0.5)
+	r.Apply(limitAt(0.0001, 0))
+	requireRate(t, r, 0.5)
 }
 
 func TestLatestReportOfALimitApplies(t *testing.T) {
--- a/pkg/relay/notice.go
+++ b/pkg/relay/notice.go
@@ -17,10 +17,16 @@
 	// HoldOff is the time for which the endpoint accepts no requests from this host, 0 if it
 	// requests no hold-off.
 	HoldOff time.Duration
-	// Limited is true when the endpoint names a rate limit for all hosts together. RateLimit is
-	// the limit in requests a second, 0 if it cannot be read.
-	Limited   bool
-	RateLimit float64
+	// Limit is what the response says about the endpoint's rate limit, nil for nothing.
+	Limit *LimitNotice
+}
+
+// LimitNotice is what a response says about the rate limit of its endpoint for all hosts
+// together.
+type LimitNotice struct {
+	// Named is true if the response names a limit, Rate the limit in requests a second.
+	Named bool
+	Rate  float64
 	// SentAt is the time when the request was sent.
 	SentAt time.Time
 }
@@ -52,14 +58,17 @@
 		n.Log.Info("endpoint requested a hold-off", "endpoint", endpoint.Name,
 			"asked_ms", notice.HoldOff.Milliseconds(), "held_off_ms", until.Sub(now).Milliseconds())
 	}
-	if !notice.Limited || notice.RateLimit > 0 {
-		n.recordLimit(now, endpoint, notice)
+	if notice.Limit != nil {
+		n.recordLimit(now, endpoint, *notice.Limit)
 	}
 }
 
 // recordLimit stores the rate limit that an endpoint names, or its end.
-func (n *NoticeHandler) recordLimit(now time.Time, endpoint directory.Endpoint, notice Notice) {
-	limit := ratelimit.Limit{Endpoint: endpoint.Name, Born: endpoint.Born, Rate: notice.RateLimit, HeardAt: now}
+func (n *NoticeHandler) recordLimit(now time.Time, endpoint directory.Endpoint, notice LimitNotice) {
+	limit := ratelimit.Limit{Endpoint: endpoint.Name, Born: endpoint.Born, HeardAt: now}
+	if notice.Named {
+		limit.Rate = ratelimit.Bound(notice.Rate)
+	}
 	if !n.Limits.Record(limit, notice.SentAt) {
 		return
 	}
