Count requests beyond the rate limits of servers apart

Requests that were rejected because all servers of a service are at their limits had the cause of a missing endpoint, in the log, the counter and the answer. They have their own now, rate_limited.

--- a/pkg/relay/fault.go
+++ b/pkg/relay/fault.go
@@ -20,6 +20,8 @@
 	CauseNoEndpoint Cause = "no_endpoint"
 	// CauseFull: no endpoint accepted a plain call, or the retry budget is exhausted.
 	CauseFull Cause = "full"
+	// CauseRateLimited: all endpoints of a plain service are at the rate limits that they name.
+	CauseRateLimited Cause = "rate_limited"
 	// CauseTooLate: the call cannot be served in time.
 	CauseTooLate Cause = "too_late"
 	// CauseLeaving: the daemon is shutting down.
@@ -40,7 +42,7 @@
 // may be retried.
 func (c Cause) isNotRun() bool {
 	switch c {
-	case CauseNoState, CauseNoEndpoint, CauseFull, CauseTooLate, CauseLeaving, CausePoisoned:
+	case CauseNoState, CauseNoEndpoint, CauseFull, CauseRateLimited, CauseTooLate, CauseLeaving, CausePoisoned:
 		return true
 	}
 	return false
--- a/pkg/relay/limit.go
+++ b/pkg/relay/limit.go
@@ -38,24 +38,20 @@
 	return r.config.Limits.IsLimited(e.Name, e.Born) && r.config.Limits.IsClosed(now, e.Name, e.Born, j.isUrgent())
 }
 
-// limitRetryAfter returns the time after which a call that no endpoint of its service may get
-// now should be sent again.
-func (r *Relay) limitRetryAfter(now time.Time, service string) time.Duration {
-	if r.config.Limits.IsEmpty() {
-		return rejectionRetryAfter
-	}
-	sum := 0.0
+// noEndpointFault returns the Fault of a plain call that no endpoint of its service may get now.
+func (r *Relay) noEndpointFault(now time.Time, service string) *Fault {
+	limits := 0.0
 	for _, e := range r.config.State().Serving(service) {
 		rate := r.config.Limits.Rate(e.Name, e.Born)
 		if rate == 0 {
-			return rejectionRetryAfter
+			return &Fault{Cause: CauseNoEndpoint, RetryAfter: rejectionRetryAfter}
 		}
-		sum += rate
+		limits += rate
 	}
-	if sum == 0 {
-		return rejectionRetryAfter
+	if limits == 0 {
+		return &Fault{Cause: CauseNoEndpoint, RetryAfter: rejectionRetryAfter}
 	}
-	return r.config.Limits.RetryAfter(now, service, sum)
+	return &Fault{Cause: CauseRateLimited, RetryAfter: r.config.Limits.RetryAfter(now, service, limits)}
 }
 
 // acquirePermits acquires the permits for both stages before the first one begins, so that no
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -89,7 +89,7 @@
 	}
 	endpoint, ok := p.acquireEndpoint(ctx)
 	if !ok {
-		return &Fault{Cause: CauseNoEndpoint, RetryAfter: r.limitRetryAfter(now, j.service.Name)}
+		return r.noEndpointFault(now, j.service.Name)
 	}
 	now = r.config.Now()
 	if !r.acquireSend(ctx, j) {
