--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -250,3 +250,17 @@
 		}
 	})
 }
+
+// TestRenewedRecordExtendsTheCondemnationOfAPart sends the renewals of a host that rejects
+// requests to a host that gets none.
+func TestRenewedRecordExtendsTheCondemnationOfAPart(t *testing.T) {
+	rejecting, idle := condemnPart(t), condemnPart(t)
+	last := 2*time.Second + 2*poison.CondemnationTTL
+	for at := 2 * time.Second; at <= last; at += time.Minute {
+		if record, ok := rejecting.RecordRejection(epoch.Add(at), badPart); ok {
+			idle.Apply(epoch.Add(at), record)
+		}
+	}
+	requirePart(t, rejecting, last, badPart, poison.VerdictCondemned)
+	requirePart(t, idle, last, badPart, poison.VerdictCondemned)
+}
