Log how a response showed its end, and the events that its caller got

A stream that ended as complete and was short for its caller left a log line like that of a sound one: status 200 and no error. The line now has the framing of the last response (length, chunks or the close of the connection), the number of events that were forwarded and the last of them, which tell a failure forwarded behind a stream from an end that was believed without proof. No logic is changed.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -45,10 +45,22 @@
 	NewConnection bool
 }
 
+// Framing is the way in which a response shows the end of its body (RFC 9112, section 6.3).
+type Framing string
+
+// The framings. A body that ends with its connection is complete if the connection was closed
+// and not reset.
+const (
+	FramingLength Framing = "length"
+	FramingChunks Framing = "chunks"
+	FramingClose  Framing = "close"
+)
+
 // Response is the head of a response and its body.
 type Response struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing Framing
 	// Body ends with io.EOF only when the response is complete. Close must be called. It
 	// closes the connection when the body was not read to its end.
 	Body *Body
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -271,7 +271,7 @@
 		}
 		if request.Matches == nil || request.Matches(head.Header) {
 			body := &Body{exchange: e, body: head.Body, reusable: !head.Close, idleTimeout: idleTimeout(head.Header)}
-			return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, nil
+			return &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Body: body}, nil
 		}
 		if head.Close {
 			return nil, errors.New("the only response belongs to another request")
@@ -283,6 +283,16 @@
 	return nil, errors.New("too many late responses")
 }
 
+func framingOf(head *http.Response) Framing {
+	switch {
+	case len(head.TransferEncoding) > 0:
+		return FramingChunks
+	case head.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingClose
+}
+
 // idleTimeout returns how long a connection may be idle, from the Keep-Alive header of a
 // response.
 func idleTimeout(header http.Header) time.Duration {
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -80,6 +80,7 @@
 		relay: r, job: j, rank: rank,
 		stream: stream{job: j, lastEvent: j.call.LastEvent, step: 1},
 	}
+	j.stream = &m.stream
 	defer m.freeHandle()
 	var failure error
 	for {
@@ -365,6 +366,7 @@
 	m.handle = Handle{}
 	m.countRun()
 	reservation.Started()
+	j.framing = response.Framing
 	if !isStream(response) {
 		return failedOutcome, j.writer.forward(response)
 	}
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -241,7 +241,7 @@
 		result := p.errorResult
 		p.errorResult = nil
 		defer result.cancel()
-		j.endpoint = result.endpoint.Name
+		j.endpoint, j.framing = result.endpoint.Name, result.response.Framing
 		return j.writer.forward(result.response)
 	}
 	if j.mayHaveRun {
@@ -274,7 +274,7 @@
 		defer s.cancel()
 		j.mayHaveRun = true
 		j.runs++
-		j.endpoint = s.endpoint.Name
+		j.endpoint, j.framing = s.endpoint.Name, s.response.Framing
 		err := j.writer.forward(s.response)
 		if err == nil {
 			s.run.recordCompletion()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,6 +27,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/turmerictide/turmerictide/pkg/balance"
+	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
 	"github.com/turmerictide/turmerictide/pkg/holdoff"
@@ -98,7 +99,8 @@
 	Header http.Header
 	// Body returns io.EOF only after a complete body. Closing it earlier signals the
 	// endpoint that the rest is not needed.
-	Body io.ReadCloser
+	Body    io.ReadCloser
+	Framing connection.Framing
 	// NotRun is true when the endpoint reports that it did not run the request.
 	NotRun bool
 	// Misdirected is true when the address now belongs to another endpoint.
@@ -253,6 +255,10 @@
 	// prefill, if an endpoint accepted it. The first of these sends is free.
 	budgetedSends int
 	endpoint      string
+	// framing is that of the last response that was forwarded, or that was to be.
+	framing connection.Framing
+	// stream is the progress of the streamed response, nil for plain calls.
+	stream *stream
 }
 
 // acquireSend reports whether one more send to an endpoint is allowed, and counts it if so.
@@ -433,6 +439,12 @@
 		"request_id", j.call.ID, "route", j.route.Name, "service", j.service.Name, "status", j.writer.status,
 		"sends", j.sends, "runs", j.runs, "endpoint", j.endpoint, "first_ms", first.Milliseconds(), "total_ms", total.Milliseconds(),
 	}
+	if j.framing != "" {
+		fields = append(fields, "framing", j.framing)
+	}
+	if j.stream != nil {
+		fields = append(fields, "events", j.stream.eventCount, "last_event", j.stream.lastEvent)
+	}
 	if j.state != nil {
 		fields = append(fields, "config", j.state.Config.Number, "config_age_ms", now.Sub(j.state.Since).Milliseconds())
 	}
