Believe the end of a stream only behind an event

Callers got streams that were framed as complete although the endpoint had sent no event at all, nothing but blank lines or a comment, or an error as its last block; the text of an error, or another head, was passed on within the stream.

Cause: the end of a body was taken for the end of the stream, and every block between blank lines for an event. Class of fault: the end of a response is believed without a proof that it is the end of this one.

Change: one place decides. A body proves the end of the stream if its framing is complete, its events have increasing numbers, and the last thing in it, but for comments, is an event that the caller does not have yet. Text that is neither a comment nor a numbered event breaks the response, and so does a successful response with another status than 200 and no events. Comments are passed on with the next event and no longer count as progress of a stream. A line that fills the read buffer exactly no longer looks like the end of an event.

--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -14,19 +14,25 @@
 // relays dozens of streams.
 const maxEventBytes = 128 << 10
 
-// event is one complete event of a stream, byte for byte as received.
+// event is one event of a stream and the comments before it, byte for byte as received.
 type event struct {
 	raw []byte
 	// id is the number in the event's id field.
-	id    int64
-	hasID bool
+	id int64
 }
 
-var errEventSize = errors.New("event is too large")
+var (
+	errEventSize = errors.New("event is too large")
+	// errNotAnEvent reports text that is neither an event with a number nor a comment, such
+	// as an error message or the head of another response.
+	errNotAnEvent = errors.New("text is no event of the stream")
+)
 
-// eventReader reads complete events (WHATWG HTML, section "Server-sent events").
+// eventReader reads complete events (WHATWG HTML, section "Server-sent events"). All events of
+// the platform's streams have numbers.
 type eventReader struct {
 	reader *bufio.Reader
+	// buffer contains the comments before the next event and that event, as far as it was read.
 	buffer []byte
 }
 
@@ -34,19 +40,19 @@
 	return &eventReader{reader: bufio.NewReader(body)}
 }
 
-// next returns the next complete event. The error is io.EOF only when the stream is
-// complete and does not end within an event. The event is valid until the next call.
+// next returns the next event. The error is io.EOF only when the body is complete and has
+// nothing but comments after its last event. The event is valid until the next call.
 func (r *eventReader) next() (event, error) {
 	r.buffer = r.buffer[:0]
-	var e event
+	blockStart, lineStart := 0, 0
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		r.buffer = append(r.buffer, line...)
+		part, err := r.reader.ReadSlice('\n')
+		r.buffer = append(r.buffer, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(r.buffer) < maxEventBytes {
 			continue
 		}
 		if err != nil {
-			if len(bytes.TrimSpace(r.buffer)) > 0 {
+			if len(bytes.TrimSpace(r.buffer[blockStart:])) > 0 {
 				return event{}, errors.Newf("stream ends within an event: %v", err)
 			}
 			return event{}, err
@@ -54,13 +60,38 @@
 		if len(r.buffer) > maxEventBytes {
 			return event{}, errEventSize
 		}
-		text := bytes.TrimRight(r.buffer, "\r\n")
-		if ended := len(bytes.TrimRight(line, "\r\n")) == 0; ended && len(text) > 0 {
-			e.raw = r.buffer
-			e.id, e.hasID = eventID(text)
-			return e, nil
+		isBlank := len(bytes.TrimRight(r.buffer[lineStart:], "\r\n")) == 0
+		lineStart = len(r.buffer)
+		if !isBlank {
+			continue
+		}
+		block := bytes.Trim(r.buffer[blockStart:], "\r\n")
+		blockStart = len(r.buffer)
+		if isComment(block) {
+			continue
+		}
+		id, ok := eventID(block)
+		if !ok {
+			return event{}, errNotAnEvent
+		}
+		return event{raw: r.buffer, id: id}, nil
+	}
+}
+
+// trailer returns the comments and blank lines after the last event. It is valid after next has
+// returned io.EOF.
+func (r *eventReader) trailer() []byte {
+	return r.buffer
+}
+
+// isComment reports whether a block has no line but comments.
+func isComment(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line[0] != ':' {
+			return false
 		}
 	}
+	return true
 }
 
 // eventID returns the number in the last id field of an event.
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -18,15 +18,16 @@
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) {
+			if trailer := reader.trailer(); len(trailer) > 0 {
+				texts = append(texts, string(trailer))
+			}
 			return texts, ids, nil
 		}
 		if err != nil {
 			return texts, ids, err
 		}
 		texts = append(texts, string(e.raw))
-		if e.hasID {
-			ids = append(ids, e.id)
-		}
+		ids = append(ids, e.id)
 	}
 }
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -39,7 +39,9 @@
 	onEvent func()
 }
 
-// forward sends the events of one response to the caller until the stream is complete.
+// forward sends the events of one response to the caller until the stream is complete. A response
+// shows that the stream is complete if its body is complete, its events have increasing numbers,
+// and the last thing in it, but for comments, is an event that the caller does not have yet.
 // onStall is called when no event arrives in time. It must make the body fail.
 func (s *stream) forward(response *Response, now func() time.Time, onStall func()) error {
 	var timer *time.Timer
@@ -47,24 +49,24 @@
 		timer = time.AfterFunc(firstEventTimeout, onStall)
 		defer timer.Stop()
 	}
-	isResumed, before := s.job.writer.Started(), s.eventCount
+	isResumed, before, previous := s.job.writer.Started(), s.eventCount, NoEvent
 	reader := newEventReader(response.Body)
 	for {
 		e, err := reader.next()
-		isEnd := errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken)
-		if isEnd && isResumed && s.eventCount == before {
-			return errors.Newf("resumed stream has no further events: %w", connection.ErrBroken)
-		}
-		if isEnd {
-			return s.complete(response)
+		if errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken) {
+			return s.complete(reader.trailer(), s.eventCount > before)
 		}
 		if err != nil {
 			return errors.Newf("read event: %w", errors.Mark(err, connection.ErrBroken))
 		}
+		if e.id <= previous {
+			return errors.Newf("event %d follows event %d: %w", e.id, previous, connection.ErrBroken)
+		}
+		previous = e.id
 		if timer != nil {
 			timer.Reset(eventGapTimeout)
 		}
-		if isResumed && s.eventCount == before && e.hasID && e.id > s.lastEvent+s.step {
+		if isResumed && s.eventCount == before && e.id > s.lastEvent+s.step {
 			return errors.Newf("resumed stream begins at event %d after %d: %w", e.id, s.lastEvent, connection.ErrBroken)
 		}
 		if err := s.forwardEvent(response, e, now()); err != nil {
@@ -75,27 +77,21 @@
 
 // forwardEvent sends one event to the caller, unless the caller already has it.
 func (s *stream) forwardEvent(response *Response, e event, now time.Time) error {
-	if e.hasID && e.id <= s.lastEvent {
+	if e.id <= s.lastEvent {
 		return nil
 	}
-	writer := s.job.writer
-	if !writer.Started() {
-		if err := writer.writeHeader(response.Status, response.Header); err != nil {
+	if !s.job.writer.Started() {
+		if err := s.job.writer.writeHeader(response.Status, response.Header); err != nil {
 			return err
 		}
 	}
-	if err := writer.write(e.raw); err != nil {
-		return errors.Newf("forward event: %w", errors.Mark(err, errCallerWrite))
-	}
-	if err := writer.flush(); err != nil {
-		return errors.Newf("forward event: %w", errors.Mark(err, errCallerWrite))
+	if err := s.write(e.raw); err != nil {
+		return err
 	}
-	if e.hasID {
-		if s.eventCount > 0 {
-			s.step = max(e.id-s.lastEvent, 1)
-		}
-		s.lastEvent = e.id
+	if s.eventCount > 0 {
+		s.step = max(e.id-s.lastEvent, 1)
 	}
+	s.lastEvent = e.id
 	if s.eventCount > 0 {
 		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
 	}
@@ -114,18 +110,32 @@
 	return int(max(s.lastEvent+1, 0)) * max(j.service.Engine.TokensPerEvent, 1)
 }
 
-// complete finishes the response after the endpoint has finished its stream. If the stream
-// had no events, it writes the header.
-func (s *stream) complete(response *Response) error {
-	if s.job.writer.Started() {
+// complete finishes the stream with the comments after its last event. A response without an
+// event shows no end.
+func (s *stream) complete(trailer []byte, hasEvents bool) error {
+	if !hasEvents {
+		return errors.Newf("response has no further events: %w", connection.ErrBroken)
+	}
+	if len(trailer) == 0 {
 		return nil
 	}
-	return s.job.writer.writeHeader(response.Status, response.Header)
+	return s.write(trailer)
+}
+
+// write sends a part of the stream to the caller.
+func (s *stream) write(content []byte) error {
+	if err := s.job.writer.write(content); err != nil {
+		return errors.Newf("forward event: %w", errors.Mark(err, errCallerWrite))
+	}
+	if err := s.job.writer.flush(); err != nil {
+		return errors.Newf("forward event: %w", errors.Mark(err, errCallerWrite))
+	}
+	return nil
 }
 
 // isStream reports whether a response is a stream of events.
 func isStream(response *Response) bool {
-	return response.Status == http.StatusOK
+	return response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 }
 
 // cancelOnStall returns a function that cancels a send with errStalled.
