Reset the connection of an HTTP/1.0 caller whose response is incomplete

A caller that speaks HTTP/1.0 got the first events of a stream that may not be resumed, or the first part of a large plain response, and then an orderly close, which is what the end of a complete response looks like without a length and without chunks.

Cause: an aborted handler closes the connection, which shows a truncated response only where its framing does. The guard of callers' connections needs the socket for that, which the listener that limits connections hides; the guard applies the limit itself.

--- a/pkg/connection/guard.go
+++ b/pkg/connection/guard.go
@@ -24,6 +24,9 @@
 }
 
 type GuardConfig struct {
+	// Connections is the maximum number of open connections, at least 1. Further ones are
+	// accepted when others have been closed.
+	Connections int
 	// Limits returns the current limits. It is called for each read.
 	Limits func() HeadLimits
 	// OnReject is called for each rejected head with the status of the response.
@@ -37,21 +40,39 @@
 // after the start. A guarded connection reports such requests through IsAmbiguous, responds
 // with status 408 to late heads and applies changed limits to the next read.
 func Guard(listener net.Listener, config GuardConfig) net.Listener {
-	return guardListener{Listener: listener, config: config}
+	return &guardListener{Listener: listener, config: config, slots: make(chan struct{}, config.Connections), done: make(chan struct{})}
 }
 
+// guardListener limits the number of its connections itself, since a listener in between would
+// hide their sockets.
 type guardListener struct {
 	net.Listener
 	config GuardConfig
+	// slots contains an element for each open connection.
+	slots     chan struct{}
+	closeOnce sync.Once
+	done      chan struct{}
 }
 
 // Accept waits for the next connection and returns it guarded.
-func (l guardListener) Accept() (net.Conn, error) {
+func (l *guardListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, errors.Newf("accept connection: %w", net.ErrClosed)
+	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
+		<-l.slots
 		return nil, err
 	}
-	return &guardedConn{Conn: conn, config: l.config}, nil
+	return &guardedConn{Conn: conn, config: l.config, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+// Close stops accepting connections.
+func (l *guardListener) Close() error {
+	l.closeOnce.Do(func() { close(l.done) })
+	return l.Listener.Close()
 }
 
 const (
@@ -73,6 +94,8 @@
 type guardedConn struct {
 	net.Conn
 	config GuardConfig
+	// release lets another connection be accepted.
+	release func()
 
 	mu sync.Mutex
 	// head contains the bytes that were read since the end of the last request, up to the
@@ -82,6 +105,12 @@
 	headStart time.Time
 }
 
+// Close closes the connection.
+func (g *guardedConn) Close() error {
+	defer g.release()
+	return g.Conn.Close()
+}
+
 // Read reads from the connection. It rejects a head that is too long or not complete in
 // time.
 func (g *guardedConn) Read(p []byte) (int, error) {
@@ -186,6 +215,32 @@
 	return ok && g.isAmbiguous()
 }
 
+// ResetOnClose makes the connection of a request's context end with a reset, or again with an
+// orderly close. To a peer that cannot receive chunks, only a reset shows that a response is
+// incomplete, whoever closes the connection and for whatever reason. ctx must derive from
+// GuardContext.
+func ResetOnClose(ctx context.Context, reset bool) error {
+	g, ok := ctx.Value(guardKey{}).(*guardedConn)
+	if !ok {
+		return nil
+	}
+	socket, ok := g.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Newf("%T cannot be reset", g.Conn)
+	}
+	seconds := orderlyClose
+	if reset {
+		seconds = 0
+	}
+	if err := socket.SetLinger(seconds); err != nil {
+		return errors.Newf("set how a connection is closed: %w", err)
+	}
+	return nil
+}
+
+// orderlyClose is the value of SetLinger with which a close sends the remaining data first.
+const orderlyClose = -1
+
 // EndRequest discards the head of the request of a context. The handler must call it when it
 // has finished the request.
 func EndRequest(ctx context.Context) {
--- a/pkg/connection/guard_test.go
+++ b/pkg/connection/guard_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,10 +16,11 @@
 	"github.com/turmerictide/turmerictide/pkg/connection"
 )
 
-// headBytes and headTimeout are the limits of guardedServer.
+// headBytes, headTimeout and guardedConnections are the limits of guardedServer.
 const (
-	headBytes   = 512
-	headTimeout = 100 * time.Millisecond
+	headBytes          = 512
+	headTimeout        = 100 * time.Millisecond
+	guardedConnections = 4
 )
 
 // guardedServer rejects ambiguous requests and echoes the bodies of others. It records the
@@ -40,9 +42,10 @@
 		}),
 	}
 	guard := connection.GuardConfig{
-		Limits:   func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes, Timeout: headTimeout} },
-		OnReject: func(_ net.Addr, status int) { rejected.Store(status, true) },
-		Now:      time.Now,
+		Connections: guardedConnections,
+		Limits:      func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes, Timeout: headTimeout} },
+		OnReject:    func(_ net.Addr, status int) { rejected.Store(status, true) },
+		Now:         time.Now,
 	}
 	go func() { _ = server.Serve(connection.Guard(listener, guard)) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -119,3 +122,89 @@
 	body := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n" + strings.Repeat("x", 4000)
 	require.Equal(t, []int{200}, sendRaw(t, address, body), "the limit applies to heads only")
 }
+
+// TestGuardedConnectionsAreLimited opens one connection more than the limit. It is served when
+// another one is closed, and a closed listener does not wait for that.
+func TestGuardedConnectionsAreLimited(t *testing.T) {
+	address := guardedServer(t, &sync.Map{})
+	request := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
+	var open []net.Conn
+	for range guardedConnections {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		open = append(open, conn)
+	}
+	last, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = last.Close() }()
+	_, err = io.WriteString(last, request)
+	require.NoError(t, err)
+	require.NoError(t, last.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = http.ReadResponse(bufio.NewReader(last), nil)
+	require.Error(t, err, "the connection is over the limit")
+	require.NoError(t, open[0].Close())
+	require.NoError(t, last.SetReadDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(last), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	for _, conn := range open[1:] {
+		_ = conn.Close()
+	}
+}
+
+func TestGuardedListenerAtItsLimitCanBeClosed(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := connection.Guard(socket, connection.GuardConfig{Connections: 1, Now: time.Now})
+	conn, err := net.Dial("tcp", socket.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = listener.Accept()
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		ended <- err
+	}()
+	require.NoError(t, listener.Close())
+	require.ErrorIs(t, <-ended, net.ErrClosed)
+}
+
+// TestConnectionEndsWithAResetOrAnOrderlyClose aborts a response after its first bytes.
+func TestConnectionEndsWithAResetOrAnOrderlyClose(t *testing.T) {
+	for _, isReset := range []bool{true, false} {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := &http.Server{
+			ReadHeaderTimeout: 3 * time.Second, ConnContext: connection.GuardContext,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if err := connection.ResetOnClose(r.Context(), true); err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(w, "a part")
+				_ = http.NewResponseController(w).Flush()
+				// The peer reads the part before the reset.
+				time.Sleep(20 * time.Millisecond)
+				if err := connection.ResetOnClose(r.Context(), isReset); err != nil {
+					panic(err)
+				}
+				panic(http.ErrAbortHandler)
+			}),
+		}
+		guard := connection.GuardConfig{Connections: guardedConnections, Limits: func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes} }, Now: time.Now}
+		go func() { _ = server.Serve(connection.Guard(socket, guard)) }()
+		conn, err := net.Dial("tcp", socket.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST / HTTP/1.0\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		content, err := io.ReadAll(conn)
+		require.Contains(t, string(content), "a part")
+		if isReset {
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+		} else {
+			require.NoError(t, err)
+		}
+		_ = conn.Close()
+		_ = server.Close()
+	}
+}
--- a/pkg/connection/idle_test.go
+++ b/pkg/connection/idle_test.go
@@ -68,8 +68,9 @@
 		}),
 	}
 	guard := connection.GuardConfig{
-		Limits:   func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes} },
-		OnReject: func(net.Addr, int) {}, Now: time.Now,
+		Connections: guardedConnections,
+		Limits:      func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes} },
+		OnReject:    func(net.Addr, int) {}, Now: time.Now,
 	}
 	go func() { _ = server.Serve(connection.Guard(slowListener{Listener: socket, read: read}, guard)) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -108,7 +109,7 @@
 			opened <- conn
 		}
 	}}
-	guard := connection.GuardConfig{Limits: func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes} }, Now: time.Now}
+	guard := connection.GuardConfig{Connections: guardedConnections, Limits: func() connection.HeadLimits { return connection.HeadLimits{Bytes: headBytes} }, Now: time.Now}
 	go func() { _ = server.Serve(connection.Guard(socket, guard)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	client, err := net.Dial("tcp", socket.Addr().String())
--- a/pkg/daemon/listener.go
+++ b/pkg/daemon/listener.go
@@ -24,7 +24,8 @@
 	name            string
 	bindAddress     netip.AddrPort
 	connectionLimit int
-	// guard, if set, limits and inspects the heads of requests.
+	// guard, if set, limits and inspects the heads of requests. Its Connections are set to
+	// connectionLimit.
 	guard *connection.GuardConfig
 	// certificate, if set, makes this a TLS listener.
 	certificate *certificate.Keeper
@@ -43,11 +44,15 @@
 	if err != nil {
 		return errors.Newf("open %s listener: %w", l.name, err)
 	}
-	l.socket = netutil.LimitListener(socket, l.connectionLimit)
+	l.socket = socket
+	if l.guard == nil {
+		l.socket = netutil.LimitListener(socket, l.connectionLimit)
+	}
 	if l.certificate != nil {
 		l.socket = tls.NewListener(l.socket, l.certificate.Config())
 	}
 	if l.guard != nil {
+		l.guard.Connections = l.connectionLimit
 		l.socket = connection.Guard(l.socket, *l.guard)
 	}
 	return nil
