Test the ends of streams at the reader and at the exit of the relay

A failure of the daemon's own can no longer be written behind a response that has begun: the error of a begun response is never a Fault, whatever it wraps. The fuzz test asks that nothing of a complete stream is left out, where it allowed blank lines to be dropped.

--- a/pkg/relay/event_test.go
+++ b/pkg/relay/event_test.go
@@ -29,6 +29,27 @@
 	require.Error(t, err)
 }
 
+// TestLineThatFillsTheReadBufferIsNoEnd has a line of each length around the size of the buffer,
+// so that its line break comes alone.
+func TestLineThatFillsTheReadBufferIsNoEnd(t *testing.T) {
+	const bufferSize = 4096
+	for length := bufferSize - 10; length < bufferSize+10; length++ {
+		stream := strings.Repeat("x", length) + "\nid: 1\n\nid: 2\ndata: b\n\n"
+		texts, ids, err := relay.ReadEvents(strings.NewReader(stream))
+		require.NoError(t, err)
+		require.Equal(t, []int64{1, 2}, ids)
+		require.Equal(t, "id: 2\ndata: b\n\n", texts[1])
+	}
+}
+
+func TestTextThatIsNoEventBreaksTheStream(t *testing.T) {
+	for _, text := range []string{"event: error\ndata: failed\n\n", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "id: x\ndata: a\n\n", ": comment\ndata: a\n\n", "failed\n\n"} {
+		texts, _, err := relay.ReadEvents(strings.NewReader("id: 1\ndata: a\n\n" + text + "id: 2\ndata: b\n\n"))
+		require.Error(t, err, text)
+		require.Equal(t, []string{"id: 1\ndata: a\n\n"}, texts)
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add("id: 1\r\n\r\nid:")
@@ -37,7 +58,7 @@
 		joined := strings.Join(texts, "")
 		require.True(t, strings.HasPrefix(stream, joined))
 		if err == nil {
-			require.Empty(t, strings.TrimSpace(stream[len(joined):]), "a complete stream must not end within an event")
+			require.Equal(t, stream, joined, "nothing of a complete stream is left out")
 		}
 	})
 }
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,3 +42,11 @@
 	}
 	run.recordCrash(r.config.Now(), "test")
 }
+
+// ClassifyAfterStart returns the error of a call whose response has begun and that ends with err.
+func (r *Relay) ClassifyAfterStart(ctx context.Context, writer *ResponseWriter, err error) error {
+	if err := writer.writeHeader(http.StatusOK, http.Header{}); err != nil {
+		return err
+	}
+	return r.classifyError(ctx, &job{writer: writer}, err)
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -333,7 +333,8 @@
 	case err == nil:
 		return nil
 	case j.writer.Started():
-		return errors.Newf("complete response: %w", errors.Mark(err, ErrResponseTruncated))
+		// A Fault would be written behind the beginning of the response.
+		return errors.Newf("complete response: %v: %w", err, ErrResponseTruncated)
 	case errors.As(err, &fault) && (fault.Cause.isNotRun() && !j.mayHaveRun):
 		return fault
 	case errors.Is(context.Cause(ctx), errTimeout) && j.mayHaveRun:
