Tell a caller that has the last event that its stream has ended

A caller whose connection broke behind the last event resumes its stream after that event. With an event asked of every response such a caller would have got 502 for ever, while the stream that broke off visibly relies on being resumed.

To a request that names its last event, an empty response with a length or with its last chunk is the end of the stream. The close of the connection alone is not, as a crash looks the same, and neither is it for a stream that the relay itself resumes.

TestCallerThatHasTheLastEventGetsTheEndOfItsStream was red for a length and for chunks before, and is with the framing left out of the decision.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -53,7 +53,7 @@
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken) {
-			return s.complete(reader.trailer(), s.eventCount > before)
+			return s.complete(response, reader.trailer(), s.eventCount > before)
 		}
 		if err != nil {
 			return errors.Newf("read event: %w", errors.Mark(err, connection.ErrBroken))
@@ -77,10 +77,7 @@
 		return nil
 	}
 	if !s.job.writer.Started() {
-		header := response.Header.Clone()
-		// The stream may go on at another endpoint, and its length is not known.
-		header.Del("Content-Length")
-		if err := s.job.writer.writeHeader(response.Status, header); err != nil {
+		if err := s.writeHeader(response); err != nil {
 			return err
 		}
 	}
@@ -107,10 +104,18 @@
 }
 
 // complete finishes the stream with the comments after its last event. A response without an
-// event shows no end.
-func (s *stream) complete(trailer []byte, hasEvents bool) error {
+// event shows no end, except to a caller that has asked for the events after the last one that
+// it has: to such a request endpoints respond with an empty body when no event follows. A closed
+// connection alone does not show that, as a crash looks the same.
+func (s *stream) complete(response *Response, trailer []byte, hasEvents bool) error {
 	if !hasEvents {
-		return errors.Newf("response has no further events: %w", connection.ErrBroken)
+		nothingFollows := s.eventCount == 0 && s.job.call.LastEvent != NoEvent && response.Framing != connection.FramingClose
+		if !nothingFollows {
+			return errors.Newf("response has no further events: %w", connection.ErrBroken)
+		}
+		if err := s.writeHeader(response); err != nil {
+			return err
+		}
 	}
 	if len(trailer) == 0 {
 		return nil
@@ -118,6 +123,14 @@
 	return s.write(trailer)
 }
 
+// writeHeader begins the response to the caller. It has no length, since the stream may go on at
+// another endpoint.
+func (s *stream) writeHeader(response *Response) error {
+	header := response.Header.Clone()
+	header.Del("Content-Length")
+	return s.job.writer.writeHeader(response.Status, header)
+}
+
 // write sends a part of the stream to the caller.
 func (s *stream) write(content []byte) error {
 	if err := s.job.writer.write(content); err != nil {
