Do not take the number of an event for the size of the output

A stream whose events are numbered by something else than a count, such as their time, was not resumed: its number was taken for the tokens that the caller has, and the request rejected as larger than any engine. A caller that resumed such a stream itself got 503.

Cause: the output that was delivered was worked out from the number of the last event, of which the platform promises only that it increases. It is now the number of events that were forwarded; for those before the call it is an estimate from their number, and never more than the output that the request allows.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -98,9 +98,14 @@
 var errCallerWrite = errors.New("write to caller failed")
 
 // deliveredTokens returns the number of output tokens that the caller already has. The
-// next endpoint loads them into its memory together with the prompt.
+// next endpoint loads them into its memory together with the prompt. For the events that the
+// caller had before this call it is an estimate from their number, which may be of any size.
 func (s *stream) deliveredTokens(j *job) int {
-	return int(max(s.lastEvent+1, 0)) * max(j.service.Engine.TokensPerEvent, 1)
+	events := s.eventCount
+	if j.call.LastEvent != NoEvent {
+		events += int(min(j.call.LastEvent, int64(j.call.OutputTokens))) + 1
+	}
+	return min(events*max(j.service.Engine.TokensPerEvent, 1), j.call.OutputTokens)
 }
 
 // complete finishes the stream with the comments after its last event. A response without an
