Send the end of a stream that comes long after its last event

A complete stream whose endpoint ended it more than 5 s after its last event reached its caller as a truncated one.

Cause: the timeout of a write to the caller is set when an event is written, and had expired when the HTTP server wrote the last chunk. The timeout now starts again when the response is complete.

TestEndOfAStreamThatComesLateReachesTheCaller failed before.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -285,6 +285,7 @@
 	defer span.End()
 	j := &job{call: call, writer: writer}
 	err := r.serve(ctx, j)
+	writer.extendDeadline()
 	r.recordCall(ctx, j, err)
 	return err
 }
--- a/pkg/relay/response_writer.go
+++ b/pkg/relay/response_writer.go
@@ -61,8 +61,14 @@
 	return nil
 }
 
-func (w *ResponseWriter) write(content []byte) error {
+// extendDeadline starts the timeout of the next write, or of the end of the response, which the
+// HTTP server writes.
+func (w *ResponseWriter) extendDeadline() {
 	_ = w.controller.SetWriteDeadline(w.now().Add(writeTimeout))
+}
+
+func (w *ResponseWriter) write(content []byte) error {
+	w.extendDeadline()
 	if _, err := w.writer.Write(content); err != nil {
 		return errors.Newf("write to caller: %w", err)
 	}
