Give each test process a loopback address of its own

Two runs of the tests of platform at the same time failed together once: six sites did not become ready within 5 s, and a caller got the response of a site that was not its own ("between events, chunks, cut, only, http10" of TestStreamIsCompleteOnlyWithAProof- OfItsEnd, run 13 of 25 beside other processes).

Cause: a process chooses a free port and listens on it later. Both processes counted through overlapping ranges, and the tests of a site's responses use thousands of ports. Processes now have different addresses of 127.0.0.0/8, so that the same port is never contended.

--- a/internal/selfsigned/selfsigned.go
+++ b/internal/selfsigned/selfsigned.go
@@ -10,6 +10,7 @@
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -19,14 +20,14 @@
 // validity is how long before and after its creation a certificate is valid.
 const validity = time.Hour
 
-// Write creates a certificate for 127.0.0.1 and its key, and writes both as PEM files.
-func Write(certificatePath, keyPath string, serial int64, now time.Time) error {
+// Write creates a certificate for an address and its key, and writes both as PEM files.
+func Write(certificatePath, keyPath string, address netip.Addr, serial int64, now time.Time) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return errors.Newf("generate key: %w", err)
 	}
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "entry"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "entry"}, IPAddresses: []net.IP{address.AsSlice()},
 		NotBefore: now.Add(-validity), NotAfter: now.Add(validity), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
 	}
 	body, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
--- a/internal/site/address.go
+++ b/internal/site/address.go
@@ -20,7 +20,14 @@
 // ID, so that processes try different ports.
 var nextPort atomic.Uint32
 
-// FreeAddress returns a loopback address that no process listens on. A process does not
+// HostAddress returns the loopback address of this process. Processes that choose ports at the
+// same time have different addresses, as a port may be taken between its choice and its use.
+func HostAddress() netip.Addr {
+	id := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + id>>16), byte(id >> 8), byte(id)})
+}
+
+// FreeAddress returns an address of this process that no process listens on. A process does not
 // get the same address twice until the range of ports wraps around.
 func FreeAddress() (netip.AddrPort, error) {
 	listener, address, err := listenFree()
@@ -35,7 +42,7 @@
 	nextPort.CompareAndSwap(0, uint32(os.Getpid()*37))
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		address := netip.AddrPortFrom(HostAddress(), uint16(port))
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
 			continue
--- a/internal/site/tls_test.go
+++ b/internal/site/tls_test.go
@@ -18,7 +18,7 @@
 	s := startSite(t, site.Config{DaemonsPerZone: 1, Zones: []string{"shubra"}})
 	directory := t.TempDir()
 	certificate, key := filepath.Join(directory, "tls.crt"), filepath.Join(directory, "tls.key")
-	require.NoError(t, selfsigned.Write(certificate, key, 1, time.Now()))
+	require.NoError(t, selfsigned.Write(certificate, key, site.HostAddress(), 1, time.Now()))
 	d, err := s.StartDaemon("entry-tls", "shubra")
 	require.NoError(t, err)
 	d.Kill()
--- a/pkg/certificate/certificate_test.go
+++ b/pkg/certificate/certificate_test.go
@@ -1,6 +1,7 @@
 package certificate_test
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -28,7 +29,7 @@
 
 func (f certificateFiles) write(t *testing.T, serial int64, modTime time.Time) {
 	t.Helper()
-	require.NoError(t, selfsigned.Write(f.certificate, f.key, serial, start))
+	require.NoError(t, selfsigned.Write(f.certificate, f.key, netip.MustParseAddr("127.0.0.1"), serial, start))
 	require.NoError(t, os.Chtimes(f.certificate, modTime, modTime))
 	require.NoError(t, os.Chtimes(f.key, modTime, modTime))
 }
