Give hosts without a keeper turns at even intervals

Hosts that are cut off from the keeper of a rate limit used too little of it, and how much was left to chance. With 300 hosts and 200 requests a second they sent 0.12 of a limit of 7.4 on average where 0.3 is meant, and 0.02 of a limit of 60.

Cause: the part of a host was a probability for each of its requests. What had accrued was capped at two requests of all hosts together, so at 300 hosts, with a request of each every 1.5 s, more than half was lost, at higher limits nearly all. The draws made the rest: the number sent was spread like independent events, at all sizes.

Each host now has turns at even intervals, 0.3 of the limit for all hosts, and may use each for 1.5 s (at low limits longer, as before). The phases of the hosts are spread evenly by the order of a hash of their names. No random numbers are left. A host that knows only few others has a phase of its own, so that the phases of hosts with short lists do not coincide.

The test now also has limits of 0.5 and 60; check and bound are the same.

--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -116,7 +116,7 @@
 	d.members.Handle(member.GossipRateLimit, d.handleLimit)
 	d.limitGate = ratelimit.NewGate(ratelimit.GateConfig{
 		Host: d.self.Host, Limits: d.limits, Publish: d.mesh.Publish, Keeper: d.limitKeeper, Share: d.limitShare,
-		Hosts: d.countPeakDaemons, Random: rand.Float64, Now: now, Log: log.WithName("limit"),
+		Hosts: d.countPeakDaemons, Members: func() []string { return d.members.Hosts("") }, Now: now, Log: log.WithName("limit"),
 	})
 	d.retries = retry.NewPool(retry.PoolConfig{
 		Host: d.self.Host, Publish: d.mesh.Publish, Keeper: d.retryKeeper, Size: d.retryPoolSize, Window: s.Budget.Window,
--- a/pkg/ratelimit/bucket.go
+++ b/pkg/ratelimit/bucket.go
@@ -1,6 +1,11 @@
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// burstSeconds is the time whose requests a keeper grants at once after a pause.
@@ -10,8 +15,14 @@
 	urgentPeriod = time.Second
 	// ownShare is the fraction of a limit that all hosts without a keeper use together.
 	ownShare = 0.3
-	// ownBurst is the number of requests that they may send at once.
-	ownBurst = 2.0
+	// turnLifetime is how long a host without a keeper may use each of its turns, so that a host
+	// with few requests has one in that time. The turns that all hosts can use in 4 s, those of
+	// 4 s and of turnLifetime, and the permits and the burst of the keeper together stay below 1.5
+	// times the limit.
+	turnLifetime = 1500 * time.Millisecond
+	// minOwnBurst is the smallest number of turns of all hosts together that are valid at once.
+	// Below 4.4 requests a second it makes them valid for longer than turnLifetime.
+	minOwnBurst = 2.0
 )
 
 // bucket is the token bucket of an endpoint at its keeper. It starts empty, since the keeper
@@ -39,26 +50,59 @@
 	return true
 }
 
-// ownPart is the part of a limit that a host may use without the keeper. It is usually a
-// fraction of a request, so take succeeds with that probability.
+// ownPart is the part of a limit that a host may use without the keeper. It consists of turns at
+// even intervals, each for one request. The phase of a host, from 0 to 1, is the offset of its
+// turns. If the phases of the hosts are evenly spread, so are the turns of all of them.
 type ownPart struct {
-	tokens    float64
+	// position is the number of turns of this host, including the current fraction of an interval.
+	position float64
+	// used is the number of turns that are used or too old.
+	used      float64
 	updatedAt time.Time
 }
 
-// take reports whether this host may send one request. hosts is the number of hosts, and draw a
-// random number from 0 to 1.
-func (p *ownPart) take(now time.Time, rate float64, hosts int, draw float64) bool {
-	elapsed := max(now.Sub(p.updatedAt).Seconds(), 0)
+// newOwnPart returns the ownPart of an incarnation of an endpoint. Its first turn begins after
+// now. rate is the number of requests a second, hosts the number of hosts.
+func newOwnPart(now time.Time, i incarnation, rate float64, hosts int, phase float64) *ownPart {
+	position := float64(now.UnixMilli()-i.born)/1000*ownTurnRate(rate, hosts) + phase
+	return &ownPart{position: position - math.Floor(position), updatedAt: now}
+}
+
+// ownTurnRate returns the number of turns a second of one host.
+func ownTurnRate(rate float64, hosts int) float64 {
+	return ownShare * rate / float64(hosts)
+}
+
+// take reports whether this host may send one request, and uses a turn if so.
+func (p *ownPart) take(now time.Time, rate float64, hosts int) bool {
+	turnRate := ownTurnRate(rate, hosts)
+	p.position += max(now.Sub(p.updatedAt).Seconds(), 0) * turnRate
 	p.updatedAt = now
-	p.tokens = min(p.tokens+elapsed*ownShare*rate/float64(hosts), ownBurst/float64(hosts))
-	if p.tokens >= 1 {
-		p.tokens--
-		return true
+	valid := max(turnRate*turnLifetime.Seconds(), minOwnBurst/float64(hosts))
+	p.used = max(p.used, math.Floor(p.position-valid))
+	if math.Floor(p.position) <= p.used {
+		return false
+	}
+	p.used++
+	return true
+}
+
+// turnPhase returns the phase of a host among the members of the site. The members are ordered
+// by a hash, so that the phases of an availability zone are evenly spread too. A host that knows
+// few members has a phase that depends on its own hash only.
+func turnPhase(host string, members []string) float64 {
+	own := xxhash.Sum64String(host)
+	rank, count := 0, 1
+	for _, m := range members {
+		if m == host {
+			continue
+		}
+		count++
+		if xxhash.Sum64String(m) < own {
+			rank++
+		}
 	}
-	isTaken := draw < p.tokens
-	p.tokens = 0
-	return isTaken
+	return (float64(rank) + float64(own)/(1<<64)) / float64(count)
 }
 
 // schedule assigns rejected requests the times at which this host's share of the limits serves
--- a/pkg/ratelimit/gate.go
+++ b/pkg/ratelimit/gate.go
@@ -44,10 +44,10 @@
 	Share func() float64
 	// Hosts returns the number of hosts that share the limits.
 	Hosts func() int
-	// Random returns a number from 0 to 1.
-	Random func() float64
-	Now    func() time.Time
-	Log    logr.Logger
+	// Members returns the names of the live hosts, in any order.
+	Members func() []string
+	Now     func() time.Time
+	Log     logr.Logger
 }
 
 // Gate decides whether requests may be sent to limited endpoints. It is safe for concurrent use.
@@ -140,14 +140,15 @@
 // takeOwn takes a request from this host's part of a limit.
 func (g *Gate) takeOwn(i incarnation, rate float64) bool {
 	now := g.config.Now()
+	hosts := max(g.config.Hosts(), 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	part, ok := g.own[i]
 	if !ok {
-		part = &ownPart{updatedAt: now}
+		part = newOwnPart(now, i, rate, hosts, turnPhase(g.config.Host, g.config.Members()))
 		g.own[i] = part
 	}
-	return part.take(now, rate, max(g.config.Hosts(), 1), g.config.Random())
+	return part.take(now, rate, hosts)
 }
 
 // IsClosed reports whether a request to an incarnation of an endpoint would get no permit now.
--- a/pkg/ratelimit/gate_test.go
+++ b/pkg/ratelimit/gate_test.go
@@ -33,11 +33,14 @@
 
 // gateSite consists of hosts that send requests to one limited endpoint.
 type gateSite struct {
-	rate   float64
-	random *rand.Rand
-	hosts  []*gateHost
+	rate  float64
+	seed  uint64
+	hosts []*gateHost
 
 	mu sync.Mutex
+	// runs is the number of calls of runFrom. Each chooses the hosts from random numbers of its
+	// own, so that they do not depend on the order of goroutines.
+	runs uint64
 	// sent are the times of the requests to the endpoint.
 	sent []time.Time
 }
@@ -53,12 +56,13 @@
 	partition int
 	// lostShare is the fraction of the host's messages that are lost.
 	lostShare float64
+	random    *rand.Rand
 }
 
 func newGateSite(rate float64, count int, seed uint64) *gateSite {
-	s := &gateSite{rate: rate, random: rand.New(rand.NewPCG(seed, 5))}
+	s := &gateSite{rate: rate, seed: seed}
 	for i := range count {
-		s.hosts = append(s.hosts, &gateHost{site: s, name: fmt.Sprintf("edge-%03d", i)})
+		s.hosts = append(s.hosts, &gateHost{site: s, name: fmt.Sprintf("edge-%d-%03d", seed, i), random: rand.New(rand.NewPCG(seed, uint64(i)))})
 	}
 	for _, h := range s.hosts {
 		h.alive = s.hosts
@@ -73,22 +77,30 @@
 	h.limits.Apply(ratelimit.Limit{Endpoint: "desk-1", Born: born, Rate: h.site.rate, HeardAt: time.Now()})
 	h.gate = ratelimit.NewGate(ratelimit.GateConfig{
 		Host: h.name, Limits: h.limits, Publish: h.publish, Keeper: func(string) string { return h.alive[0].name },
-		Share:  func() float64 { return float64(len(h.alive)) / float64(len(h.site.hosts)) },
-		Hosts:  func() int { return len(h.site.hosts) },
-		Random: h.site.draw, Now: time.Now, Log: logr.Discard(),
+		Share: func() float64 { return float64(len(h.alive)) / float64(len(h.site.hosts)) },
+		Hosts: func() int { return len(h.site.hosts) }, Members: h.members,
+		Now: time.Now, Log: logr.Discard(),
 	})
 }
 
-func (s *gateSite) draw() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.random.Float64()
+func (h *gateHost) members() []string {
+	var names []string
+	for _, other := range h.alive {
+		names = append(names, other.name)
+	}
+	return names
+}
+
+func (h *gateHost) isLost() bool {
+	h.site.mu.Lock()
+	defer h.site.mu.Unlock()
+	return h.random.Float64() < h.lostShare
 }
 
 func (h *gateHost) publish(topic string, messages ...*message.Message) error {
 	for _, m := range messages {
 		peer := h.site.hosts[slices.IndexFunc(h.site.hosts, func(o *gateHost) bool { return o.name == link.Host(m) })]
-		if peer.partition != h.partition || h.site.draw() < h.lostShare {
+		if peer.partition != h.partition || h.isLost() {
 			continue
 		}
 		received := link.NewMessage(h.name, m.Payload, trace.SpanContext{})
@@ -106,9 +118,13 @@
 }
 
 func (s *gateSite) runFrom(hosts []*gateHost, requestsPerSecond float64, length time.Duration) {
+	s.mu.Lock()
+	s.runs++
+	random := rand.New(rand.NewPCG(s.seed, ^s.runs))
+	s.mu.Unlock()
 	var work sync.WaitGroup
 	for range int(requestsPerSecond * length.Seconds()) {
-		host := hosts[int(s.draw()*float64(len(hosts)))]
+		host := hosts[random.IntN(len(hosts))]
 		work.Go(func() {
 			if host.gate.Acquire(context.Background(), "desk-1", born, true) {
 				s.mu.Lock()
@@ -147,12 +163,17 @@
 	}
 }
 
+// allowedInWindow returns the number of requests that an endpoint may get in any window.
+func allowedInWindow(rate float64) int {
+	return int(1.5*rate*limitWindow.Seconds() + 5)
+}
+
 // requireWithinLimit requires that no window has more requests than one and a half times the
 // limit and 5, and that the endpoint got a part of its limit over the whole time.
 func (s *gateSite) requireWithinLimit(t *testing.T, length time.Duration, usedShare float64) {
 	t.Helper()
 	slices.SortFunc(s.sent, time.Time.Compare)
-	allowed := int(1.5*s.rate*limitWindow.Seconds() + 5)
+	allowed := allowedInWindow(s.rate)
 	for i, first := range s.sent {
 		count := 0
 		for _, at := range s.sent[i:] {
@@ -220,23 +241,142 @@
 	}
 }
 
+// cutAllOff cuts all hosts off from each other, which no host detects.
+func (s *gateSite) cutAllOff() {
+	for i, h := range s.hosts {
+		h.partition = i
+	}
+}
+
 // TestHostsWithoutAKeeperKeepALimit cuts all hosts off from the keeper, which sends nothing.
 func TestHostsWithoutAKeeperKeepALimit(t *testing.T) {
+	for _, count := range []int{2, 7, 300} {
+		for _, rate := range []float64{0.5, 7.4, 60} {
+			t.Run(fmt.Sprint(count, " ", rate), func(t *testing.T) {
+				virtual.Run(t, func(t *testing.T) {
+					s := newGateSite(rate, count, 2)
+					s.cutAllOff()
+					s.runFrom(s.hosts[1:], 200, 30*time.Second)
+					s.requireWithinLimit(t, 30*time.Second, 0.1)
+					time.Sleep(10 * time.Minute)
+					s.runFrom(s.hosts[1:], 200, 30*time.Second)
+					s.requireWithinLimit(t, time.Minute, 0.1)
+				})
+			})
+		}
+	}
+}
+
+// TestSurgeWithoutTheKeeperKeepsALimit cuts all hosts off from the keeper, which uses the whole
+// limit. After a pause they all send many requests. The names of the hosts depend on the seed.
+func TestSurgeWithoutTheKeeperKeepsALimit(t *testing.T) {
+	for _, count := range []int{2, 7, 300} {
+		for _, rate := range []float64{0.5, 7.4, 60} {
+			t.Run(fmt.Sprint(count, " ", rate), func(t *testing.T) {
+				for seed := range uint64(2) {
+					virtual.Run(t, func(t *testing.T) {
+						s := newGateSite(rate, count, seed)
+						s.cutAllOff()
+						s.run(20, time.Minute)
+						time.Sleep(50 * time.Second)
+						var keeper sync.WaitGroup
+						keeper.Go(func() { s.runFrom(s.hosts[:1], 200, 5*time.Second) })
+						s.runFrom(s.hosts[1:], 1000, 5*time.Second)
+						keeper.Wait()
+						s.requireWithinLimit(t, 5*time.Second, 0.5)
+					})
+				}
+			})
+		}
+	}
+}
+
+// TestPartsOfAllHostsLeaveRoomForTheKeeper lets all hosts send requests without a keeper after a
+// pause, in the 4 s in which a keeper that they do not reach grants the whole limit and its burst.
+func TestPartsOfAllHostsLeaveRoomForTheKeeper(t *testing.T) {
+	for _, count := range []int{7, 300} {
+		for _, rate := range []float64{0.5, 7.4, 60} {
+			granted := int(limitWindow.Seconds()*rate + max(rate/4, 1))
+			for seed := range uint64(30) {
+				require.LessOrEqual(t, granted+countSurge(rate, count, seed), allowedInWindow(rate), "%d hosts, %v a second, seed %d", count, rate, seed)
+			}
+		}
+	}
+}
+
+// countSurge returns the number of requests that hosts without a keeper send in the window after
+// a pause. Their names and the times of their first requests, in one minute, depend on the seed.
+func countSurge(rate float64, count int, seed uint64) int {
+	random := rand.New(rand.NewPCG(seed, 10))
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("edge-%d-%d", seed, i)
+	}
+	limits := ratelimit.NewRegister()
+	limits.Apply(limitAt(rate, 0))
+	var now time.Time
+	var gates []*ratelimit.Gate
+	for _, name := range names {
+		gate := ratelimit.NewGate(ratelimit.GateConfig{
+			Host: name, Limits: limits, Keeper: func(string) string { return "" }, Hosts: func() int { return count },
+			Members: func() []string { return names }, Now: func() time.Time { return now },
+		})
+		now = epoch.Add(time.Duration(random.Int64N(int64(time.Minute))))
+		gate.Acquire(context.Background(), "desk-1", born, true)
+		gates = append(gates, gate)
+	}
+	sent := 0
+	for at := time.Duration(0); at < limitWindow; at += 100 * time.Millisecond {
+		now = epoch.Add(3*time.Minute + at)
+		for _, gate := range gates {
+			for gate.Acquire(context.Background(), "desk-1", born, true) {
+				sent++
+			}
+		}
+	}
+	return sent
+}
+
+// TestHostsWithFewRequestsUseALowLimit sends fewer requests than there are turns of 0.5 a second
+// that all 300 hosts have in the time of one.
+func TestHostsWithFewRequestsUseALowLimit(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		s := newGateSite(0.5, 300, 9)
+		s.cutAllOff()
+		s.runFrom(s.hosts[1:], 40, 2*time.Minute)
+		s.requireWithinLimit(t, 2*time.Minute, 0.1)
+	})
+}
+
+// TestHostsThatKnowFewOthersKeepALimit removes all hosts but the keeper from the lists of the
+// hosts, as while the failures of the others are detected.
+func TestHostsThatKnowFewOthersKeepALimit(t *testing.T) {
 	for _, count := range []int{2, 7, 300} {
 		virtual.Run(t, func(t *testing.T) {
-			s := newGateSite(7.4, count, 2)
-			for i, h := range s.hosts {
-				h.partition = i
+			s := newGateSite(7.4, count, 7)
+			s.cutAllOff()
+			for _, h := range s.hosts[1:] {
+				h.alive = []*gateHost{s.hosts[0], h}
 			}
-			s.runFrom(s.hosts[1:], 200, 30*time.Second)
-			s.requireWithinLimit(t, 30*time.Second, 0.1)
-			time.Sleep(10 * time.Minute)
-			s.runFrom(s.hosts[1:], 200, 30*time.Second)
-			s.requireWithinLimit(t, time.Minute, 0.1)
+			s.runFrom(s.hosts[1:], 400, 2*time.Minute)
+			s.requireWithinLimit(t, 2*time.Minute, 0.1)
 		})
 	}
 }
 
+// TestZoneWithoutTheKeeperUsesItsPartAllTheTime sends requests from a third of the hosts.
+func TestZoneWithoutTheKeeperUsesItsPartAllTheTime(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		s := newGateSite(7.4, 300, 8)
+		s.cutAllOff()
+		for range 5 {
+			s.sent = nil
+			s.runFrom(s.hosts[100:200], 200, 30*time.Second)
+			s.requireWithinLimit(t, 30*time.Second, 0.1/3)
+		}
+	})
+}
+
 // TestKeeperGrantsByTheLimitThatItKnows gives one host a wrong limit.
 func TestKeeperGrantsByTheLimitThatItKnows(t *testing.T) {
 	virtual.Run(t, func(t *testing.T) {
@@ -266,7 +406,7 @@
 
 func TestUnlimitedEndpointNeedsNoPermit(t *testing.T) {
 	limits := ratelimit.NewRegister()
-	gate := ratelimit.NewGate(ratelimit.GateConfig{Limits: limits, Keeper: func(string) string { return "" }, Now: time.Now, Hosts: func() int { return 7 }, Random: func() float64 { return 0.99 }})
+	gate := ratelimit.NewGate(ratelimit.GateConfig{Limits: limits, Keeper: func(string) string { return "" }, Now: time.Now, Hosts: func() int { return 7 }, Members: func() []string { return nil }})
 	require.True(t, gate.Acquire(context.Background(), "desk-1", born, true))
 	limits.Apply(ratelimit.Limit{Endpoint: "desk-1", Born: born, Rate: 7.4, HeardAt: time.Now()})
 	require.False(t, gate.Acquire(context.Background(), "desk-1", born, true))
