Do not send an ID twice on a connection to an endpoint

A faulty server that wrote an earlier response once more was believed, if the next request on the connection had the same ID: prefill, decode and a repeat of one call have the ID of their caller's attempt. Seen on the code before: a booking whose ID its caller used again ran at two servers, because the copy of a 421 without Turmerictide-Not-Executed was believed; the answer of an earlier run went to the caller; a decode got a KV handle that had been fetched already; a decode at the address of its prefill was answered 502 while the server ran it. A copy of a 503 with Turmerictide-Not-Executed could not be believed, by accident: the body of such a refusal is not read, which closes its connection.

A request now names the field with its ID, and the pool sends no ID on a connection that has carried it: it takes another idle connection, or opens one, at the limit of the address in place of the idle one that was used least recently. So a response with a request's ID on its connection can only be its own. A connection remembers hashes of 1,024 IDs, 8 KB, and is closed after the last of them, so none is forgotten while a response to it can arrive; a hash that two IDs share only opens a connection. A request whose ID is empty gets a new connection.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -37,14 +37,30 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether the head of a response belongs to this request. Late
-	// responses to earlier requests are skipped. Without Matches, each response belongs.
-	Matches func(header http.Header) bool
+	// IDHeader names the field of Header that identifies the request. The endpoint repeats it
+	// in its response. Responses with another value, or without the field, belong to earlier
+	// requests and are skipped. A response to an earlier request may have the same value if
+	// that request was sent on the same connection, so no connection carries a value twice.
+	// Without IDHeader, each response is accepted.
+	IDHeader string
 	// NewConnection requires a new connection, on which no response to an earlier request
 	// can arrive. It is for requests whose responses cannot be distinguished.
 	NewConnection bool
 }
 
+// id returns the value that identifies the request.
+func (r *Request) id() string {
+	if r.IDHeader == "" {
+		return ""
+	}
+	return r.Header.Get(r.IDHeader)
+}
+
+// matches reports whether the head of a response belongs to the request.
+func (r *Request) matches(response http.Header) bool {
+	return r.IDHeader == "" || response.Get(r.IDHeader) == r.id()
+}
+
 // Framing is the way in which a response shows the end of its body (RFC 9112, section 6.3).
 type Framing string
 
@@ -86,6 +102,10 @@
 	idleTimeoutMargin = 500 * time.Millisecond
 	// maxIdlePerAddress limits the idle connections to one address.
 	maxIdlePerAddress = 64
+	// maxCarriedIDs limits the requests with an ID that one connection carries. It bounds the
+	// memory of their IDs to 8 KB per connection. A connection is closed after its last
+	// request, so no ID is forgotten while a response to it can arrive.
+	maxCarriedIDs = 1024
 	// smallBodyLimit is the size up to which a body is written before the response is read.
 	// The buffer of the socket has 16 KB or more, so the write completes even when the peer
 	// reads nothing.
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +41,23 @@
 	reader  *bufio.Reader
 	// usableUntil is the time at which the idle timeout expires.
 	usableUntil time.Time
+	// carried contains the hashes of the IDs of all requests that were sent on the connection.
+	carried []uint64
+}
+
+// idSeed is the seed of the hashes of IDs.
+var idSeed = maphash.MakeSeed()
+
+// hasCarried reports whether a request with an ID was sent on the connection. If the hashes of
+// two IDs are equal, a connection is avoided without need.
+func (c *connection) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, maphash.String(idSeed, id))
+}
+
+func (c *connection) recordCarried(id string) {
+	if id != "" {
+		c.carried = append(c.carried, maphash.String(idSeed, id))
+	}
 }
 
 // NewPool returns an empty Pool.
@@ -105,14 +124,11 @@
 // Do sends a request and returns the head of its response. The connection is closed when
 // ctx is done, also while the body is read. Errors wrap ErrNotSent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, request *Request) (*Response, error) {
-	open := p.acquire
-	if request.NewConnection {
-		open = p.connect
-	}
-	c, err := open(ctx, address)
+	c, err := p.acquire(ctx, address, request)
 	if err != nil {
 		return nil, err
 	}
+	c.recordCarried(request.id())
 	e := &exchange{connection: c, written: make(chan struct{})}
 	e.stopInterrupt = context.AfterFunc(ctx, c.interrupt)
 	if len(request.Body) <= smallBodyLimit {
@@ -145,11 +161,16 @@
 	return nil
 }
 
-// acquire returns a usable idle connection or a new one.
-func (p *Pool) acquire(ctx context.Context, address netip.AddrPort) (*connection, error) {
+// acquire returns a usable idle connection that has not carried the ID of a request, or a new
+// connection.
+func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, request *Request) (*connection, error) {
+	id := request.id()
+	if request.NewConnection || (request.IDHeader != "" && id == "") {
+		return p.connect(ctx, address)
+	}
 	now := p.Now()
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			break
 		}
@@ -161,14 +182,21 @@
 	return p.connect(ctx, address)
 }
 
-// connect opens a connection within the limit of the address.
+// connect opens a connection within the limit of the address. At the limit, it replaces the
+// idle connection that was used least recently.
 func (p *Pool) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	p.mu.Lock()
-	if limit := p.Limit(address); p.open[address] >= limit {
+	limit, idle := p.Limit(address), p.idle[address]
+	switch {
+	case p.open[address] < limit:
+		p.open[address]++
+	case p.open[address] == limit && len(idle) > 0:
+		_ = idle[0].socket.Close()
+		p.idle[address] = slices.Delete(idle, 0, 1)
+	default:
 		p.mu.Unlock()
 		return nil, errors.Newf("%d connections to %s: %w", limit, address, ErrLimit)
 	}
-	p.open[address]++
 	p.mu.Unlock()
 	socket, err := dial(ctx, address)
 	if err != nil {
@@ -182,18 +210,20 @@
 	return &connection{pool: p, address: address, socket: socket, bounded: bounded, reader: bufio.NewReader(bounded)}, nil
 }
 
-// popIdle removes and returns the idle connection that was used last, nil for none.
-func (p *Pool) popIdle(address netip.AddrPort) *connection {
+// popIdle removes and returns the idle connection that was used last and has not carried an
+// ID, nil for none.
+func (p *Pool) popIdle(address netip.AddrPort, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.hasCarried(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			p.reused++
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	p.reused++
-	return c
+	return nil
 }
 
 func (p *Pool) release(address netip.AddrPort) {
@@ -269,7 +299,7 @@
 		if head.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Matches == nil || request.Matches(head.Header) {
+		if request.matches(head.Header) {
 			body := &Body{exchange: e, body: head.Body, reusable: !head.Close, idleTimeout: idleTimeout(head.Header)}
 			return &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Body: body}, nil
 		}
@@ -345,7 +375,7 @@
 		// The endpoint responded before it had received the whole request.
 		b.reusable = false
 	}
-	if b.complete && b.reusable && uninterrupted && e.writeErr == nil && c.reader.Buffered() == 0 {
+	if b.complete && b.reusable && uninterrupted && e.writeErr == nil && c.reader.Buffered() == 0 && len(c.carried) < maxCarriedIDs {
 		c.usableUntil = c.pool.Now().Add(b.idleTimeout)
 		c.pool.pushIdle(c)
 		return nil
--- a/pkg/connection/standin_test.go
+++ b/pkg/connection/standin_test.go
@@ -73,6 +73,6 @@
 	return &connection.Request{
 		Method: http.MethodPost, Target: "/a%2Fb?c=d", Host: "host.example",
 		Header: http.Header{"X-Id": {id}}, Body: []byte("body of " + id),
-		Matches: func(header http.Header) bool { return header.Get("X-Id") == id },
+		IDHeader: "X-Id",
 	}
 }
