Abort a streamed chat response that fails after its first token

A caller of a streamed chat whose stream could not be continued received an error event, no [DONE] event, and then the last chunk. A caller or a proxy that judges a response by its framing took a cut output for a complete one.

serveChat returned normally after response.fail, and the HTTP server then ended the body. It now aborts the handler after the error event was flushed, so that the error event is delivered and the last chunk is not. An HTTP/1.0 caller has no chunks: for it the missing [DONE] event and the error event are the mark.

--- a/pkg/front/chat.go
+++ b/pkg/front/chat.go
@@ -80,6 +80,10 @@
 		response.complete()
 	}
 	f.recordChat(job, response, stats)
+	if err != nil && response.started {
+		// Leaves out the last chunk, since not every caller looks for the [DONE] event.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // recordChat records and logs the outcome of a request.
--- a/pkg/front/chat_response.go
+++ b/pkg/front/chat_response.go
@@ -145,7 +145,8 @@
 }
 
 // fail sends an error. A started stream ends with an error event and without
-// the [DONE] event, so that the caller can tell that it is incomplete.
+// the [DONE] event, so that the caller can tell that it is incomplete. The handler
+// must then abort it.
 func (r *chatResponse) fail(f *fault) {
 	if r.started {
 		_ = r.sendEvent(newErrorResponse(f))
