Count an event of an engine's stream only with its blank line

Callers got a stream as complete whose endpoint had broken off inside the last event, and tokens of events that had broken off before their blank line.

Stream.Next took each line "data: ..." for an event. A stream that ends inside an event has been broken off: an event now ends with its blank line, and an event with two lines of data, which the protocol does not have, is invalid.

--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -30,6 +30,7 @@
 	cancel      context.CancelCauseFunc
 	response    *http.Response
 	reader      *bufio.Reader
+	event       []byte
 	watchdog    *time.Timer
 	idleTimeout time.Duration
 }
@@ -64,20 +65,36 @@
 // ErrFailedAfterSend if the stream ended without the [DONE] event or has an
 // invalid event.
 func (s *Stream) Next() (Token, error) {
+	data, err := s.nextEvent()
+	if err != nil {
+		return Token{}, err
+	}
+	if bytes.Equal(data, []byte("[DONE]")) {
+		return Token{}, io.EOF
+	}
+	return parseToken(data)
+}
+
+// nextEvent returns the data of the next event that has any. An event ends with a
+// blank line: what precedes the end of the connection is not an event.
+func (s *Stream) nextEvent() ([]byte, error) {
+	s.event = s.event[:0]
 	for {
 		s.watchdog.Reset(s.idleTimeout)
 		line, err := s.reader.ReadSlice('\n')
 		if err != nil {
-			return Token{}, s.readError(err)
-		}
-		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
-		if !ok {
-			continue
+			return nil, s.readError(err)
 		}
-		if bytes.Equal(data, []byte("[DONE]")) {
-			return Token{}, io.EOF
+		line = bytes.TrimSpace(line)
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		switch {
+		case len(line) == 0 && len(s.event) > 0:
+			return s.event, nil
+		case ok && len(s.event) > 0:
+			return nil, errors.Newf("event has more than one line of data: %w", ErrFailedAfterSend)
+		case ok:
+			s.event = append(s.event, data...)
 		}
-		return parseToken(data)
 	}
 }
 
--- a/pkg/front/ending_test.go
+++ b/pkg/front/ending_test.go
@@ -101,6 +101,7 @@
 	{"ends before the blank line of an event", func(from int) string { return strings.TrimSuffix(tokenEvents(from, 4), "\n") }},
 	{"ends before the finish reason", func(from int) string { return tokenEvents(from, 5) }},
 	{"ends before the last event", func(from int) string { return tokenEvents(from, 5) + finishEvent(5) }},
+	{"ends inside the last event", func(from int) string { return strings.TrimSuffix(wholeStream(from), "\n") }},
 	{"has no finish reason", func(from int) string { return tokenEvents(from, 5) + doneEvent }},
 	{"has the last event alone", func(int) string { return doneEvent }},
 	{"ends with an error", func(from int) string {
