Reject events of an engine's stream that name no token offset

A caller could get an output without its first token as complete, or a complete response without any token.

An event without token_offset was decoded as one at offset 0. Such an event is now invalid, and the stream broken.

--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -36,7 +36,7 @@
 }
 
 type streamEvent struct {
-	TokenOffset int `json:"token_offset"`
+	TokenOffset *int `json:"token_offset"`
 	Choices     []struct {
 		Delta struct {
 			Content string `json:"content"`
@@ -107,10 +107,10 @@
 
 func parseToken(data []byte) (Token, error) {
 	var event streamEvent
-	if err := json.Unmarshal(data, &event); err != nil || len(event.Choices) != 1 {
+	if err := json.Unmarshal(data, &event); err != nil || len(event.Choices) != 1 || event.TokenOffset == nil {
 		return Token{}, errors.Newf("invalid event: %w", ErrFailedAfterSend)
 	}
-	token := Token{Offset: event.TokenOffset, Text: event.Choices[0].Delta.Content}
+	token := Token{Offset: *event.TokenOffset, Text: event.Choices[0].Delta.Content}
 	if event.Choices[0].FinishReason != nil {
 		token.FinishReason = *event.Choices[0].FinishReason
 	}
--- a/pkg/front/ending_test.go
+++ b/pkg/front/ending_test.go
@@ -108,6 +108,12 @@
 		return tokenEvents(from, 3) + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n" + doneEvent
 	}},
 	{"leaves out a token", func(from int) string { return tokenEvents(from, 2) + tokenEvents(3, 5) + finishEvent(5) + doneEvent }},
+	{"has an event without an offset", func(from int) string {
+		return "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n" + wholeStream(from)
+	}},
+	{"has a finish reason without an offset", func(int) string {
+		return "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n" + doneEvent
+	}},
 	{"is no stream", func(int) string { return `{"error":{"message":"out of memory"}}` }},
 	{"is an answer of another kind", func(int) string {
 		return `{"choices":[{"index":0,"message":{"content":"one "},"finish_reason":"stop"}]}` + "\n\n"
