Reject text in the event of the finish reason

A caller got an output without its last token as complete if the engine sent this token in the event of the finish reason, as some engines do.

The front passes on such an event as the finish reason alone. The protocol says that the last event has no text, so that an event with both is invalid now and the stream broken, instead of losing text without a mark.

--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -114,5 +114,8 @@
 	if event.Choices[0].FinishReason != nil {
 		token.FinishReason = *event.Choices[0].FinishReason
 	}
+	if token.FinishReason != "" && token.Text != "" {
+		return Token{}, errors.Newf("last event has text: %w", ErrFailedAfterSend)
+	}
 	return token, nil
 }
--- a/pkg/front/ending_test.go
+++ b/pkg/front/ending_test.go
@@ -114,6 +114,9 @@
 	{"has a finish reason without an offset", func(int) string {
 		return "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n" + doneEvent
 	}},
+	{"has text in the event of the finish reason", func(from int) string {
+		return tokenEvents(from, 4) + "data: {\"token_offset\":4,\"choices\":[{\"delta\":{\"content\":\"five \"},\"finish_reason\":\"stop\"}]}\n\n" + doneEvent
+	}},
 	{"is no stream", func(int) string { return `{"error":{"message":"out of memory"}}` }},
 	{"is an answer of another kind", func(int) string {
 		return `{"choices":[{"index":0,"message":{"content":"one "},"finish_reason":"stop"}]}` + "\n\n"
