End a stream only at a last event that directly follows its finish reason

A caller could get a complete response whose finish reason was followed by more tokens, without a second finish reason.

The front kept the finish reason of a request over streams and attempts, and took any [DONE] event after it for the end. The stream itself now decides: [DONE] is the end only directly after the finish reason, in the same response; any other event there, and [DONE] anywhere else, makes the stream broken. The front's own condition has no use any more.

--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -26,11 +26,13 @@
 
 // Stream reads the tokens of one request. It must be closed.
 type Stream struct {
-	ctx         context.Context
-	cancel      context.CancelCauseFunc
-	response    *http.Response
-	reader      *bufio.Reader
-	event       []byte
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	response *http.Response
+	reader   *bufio.Reader
+	event    []byte
+	// finished is set after the event with the finish reason.
+	finished    bool
 	watchdog    *time.Timer
 	idleTimeout time.Duration
 }
@@ -61,18 +63,24 @@
 }
 
 // Next returns the next token. It returns io.EOF after the [DONE] event of a
-// complete stream, ErrIdleTimeout if no data was received in time, and
-// ErrFailedAfterSend if the stream ended without the [DONE] event or has an
-// invalid event.
+// complete stream, which follows the finish reason directly, ErrIdleTimeout if no
+// data was received in time, and ErrFailedAfterSend if the stream ended otherwise
+// or has an invalid event. How the response is framed proves nothing.
 func (s *Stream) Next() (Token, error) {
 	data, err := s.nextEvent()
 	if err != nil {
 		return Token{}, err
 	}
-	if bytes.Equal(data, []byte("[DONE]")) {
+	isLast := bytes.Equal(data, []byte("[DONE]"))
+	if isLast != s.finished {
+		return Token{}, errors.Newf("the last event does not follow the finish reason: %w", ErrFailedAfterSend)
+	}
+	if isLast {
 		return Token{}, io.EOF
 	}
-	return parseToken(data)
+	token, err := parseToken(data)
+	s.finished = token.FinishReason != ""
+	return token, err
 }
 
 // nextEvent returns the data of the next event that has any. An event ends with a
--- a/pkg/front/chat_run.go
+++ b/pkg/front/chat_run.go
@@ -257,13 +257,10 @@
 	started := a.reservation.IsStarted()
 	for {
 		token, err := stream.Next()
-		if errors.Is(err, io.EOF) && a.response.finishReason != "" {
+		if errors.Is(err, io.EOF) {
 			a.outcome.OutputTokens = a.response.tokens
 			return nil
 		}
-		if errors.Is(err, io.EOF) {
-			return endpoint.ErrFailedAfterSend
-		}
 		if err != nil {
 			return err
 		}
--- a/pkg/front/ending_test.go
+++ b/pkg/front/ending_test.go
@@ -107,6 +107,9 @@
 	{"ends with an error", func(from int) string {
 		return tokenEvents(from, 3) + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n" + doneEvent
 	}},
+	{"goes on after the finish reason", func(from int) string {
+		return tokenEvents(from, 3) + finishEvent(3) + tokenEvents(3, 4) + doneEvent
+	}},
 	{"leaves out a token", func(from int) string { return tokenEvents(from, 2) + tokenEvents(3, 5) + finishEvent(5) + doneEvent }},
 	{"has an event without an offset", func(from int) string {
 		return "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n" + wholeStream(from)
