Reject errors and abortions that an engine tells in a stream's event

Callers got a cut output as complete if its engine told an error in an event with a choice, or ended it with the finish reason "abort" or "error", and then sent [DONE].

parseToken looked at the choice alone. An event with an error, and one whose finish reason says that the engine gave up, now break the stream, which goes on at the same engine or another one. Events with an error and no choice were invalid before.

Rows "ends with an error in a choice" and "is aborted by the engine": 162 of their 180 cases were red before. Each of the two guards was taken out alone: 81 red, the cases of its row.

--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,7 +39,8 @@
 }
 
 type streamEvent struct {
-	TokenOffset *int `json:"token_offset"`
+	TokenOffset *int            `json:"token_offset"`
+	Error       json.RawMessage `json:"error"`
 	Choices     []struct {
 		Delta struct {
 			Content string `json:"content"`
@@ -113,15 +115,24 @@
 	return errors.Newf("%v: %w", err, ErrFailedAfterSend)
 }
 
+// failureReasons are the finish reasons of outputs that an engine gave up.
+var failureReasons = []string{"abort", "error"}
+
 func parseToken(data []byte) (Token, error) {
 	var event streamEvent
 	if err := json.Unmarshal(data, &event); err != nil || len(event.Choices) != 1 || event.TokenOffset == nil {
 		return Token{}, errors.Newf("invalid event: %w", ErrFailedAfterSend)
 	}
+	if len(event.Error) > 0 && !bytes.Equal(event.Error, []byte("null")) {
+		return Token{}, errors.Newf("event tells an error: %w", ErrFailedAfterSend)
+	}
 	token := Token{Offset: *event.TokenOffset, Text: event.Choices[0].Delta.Content}
 	if event.Choices[0].FinishReason != nil {
 		token.FinishReason = *event.Choices[0].FinishReason
 	}
+	if slices.Contains(failureReasons, token.FinishReason) {
+		return Token{}, errors.Newf("engine ended the output with %s: %w", token.FinishReason, ErrFailedAfterSend)
+	}
 	if token.FinishReason != "" && token.Text != "" {
 		return Token{}, errors.Newf("last event has text: %w", ErrFailedAfterSend)
 	}
