Send a length with each whole answer, however its endpoint framed it

A caller that speaks HTTP/1.0 got a long answer without a length: plain answers that their service sent in chunks or with neither length nor chunks, chat responses that are not streamed, and the list of models. Their only end was that of the connection, which a daemon that is killed or stopped ends as well, so that a cut answer looked complete.

The front holds these answers whole before it sends the first byte. It now names their length. Answers of services without a body keep the length of their service, as of HEAD. Callers of HTTP/1.0 therefore need no reset on this interface: whole answers have a length, streams the [DONE] event.

TestPromisePlainAnswerIsForwardedWholeOrAsAFailure ends the answers of services in nine ways, for GET, POST and POST with a key, and checks the outcome that is told and stored. 24 of its 108 cases were red before ("has no length"), the others green; and TestLongAnswersHaveALengthForCallersOfHTTP10 was red. With the condition on the body taken out, TestHeadResponseKeepsTheLengthOfItsEndpoint is red.

--- a/pkg/front/chat_response.go
+++ b/pkg/front/chat_response.go
@@ -140,8 +140,7 @@
 		PromptTokens: r.job.promptTokens, CompletionTokens: r.tokens,
 		TotalTokens: r.job.promptTokens + r.tokens,
 	}
-	r.writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(r.writer).Encode(completion)
+	writeJSON(r.writer, http.StatusOK, completion)
 }
 
 // fail sends an error. A started stream ends with an error event and without
--- a/pkg/front/fault.go
+++ b/pkg/front/fault.go
@@ -149,10 +149,21 @@
 
 // writeError sends an error response with its Retry-After header.
 func writeError(w http.ResponseWriter, f *fault) {
-	w.Header().Set("Content-Type", "application/json")
 	if f.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
 	}
-	w.WriteHeader(responseByCode[f.code].status)
-	_ = json.NewEncoder(w).Encode(newErrorResponse(f))
+	writeJSON(w, responseByCode[f.code].status, newErrorResponse(f))
+}
+
+// writeJSON sends a response with its length. Without it, the end of the connection would
+// be the end of a long response to a caller that speaks HTTP/1.0.
+func writeJSON(w http.ResponseWriter, status int, message any) {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(encoded, '\n'))
 }
--- a/pkg/front/harness_test.go
+++ b/pkg/front/harness_test.go
@@ -122,6 +122,12 @@
 	return c
 }
 
+func (s *standin) count(stage string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[stage]
+}
+
 // sound returns a complete response with a length.
 func sound(status int, contentType, body string) reply {
 	return reply{raw: fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, contentType, len(body), body)}
@@ -146,9 +152,13 @@
 func newState(t *testing.T, address netip.AddrPort) *ticket.State {
 	t.Helper()
 	digest := sha256.Sum256([]byte(testToken))
+	models := []string{testModel}
+	for i := range 100 {
+		models = append(models, fmt.Sprint("other-model-", i))
+	}
 	rank := ticket.Rank{Name: "standard", FirstTokenTarget: ticket.Duration(10 * time.Second), TokenGapTarget: ticket.Duration(100 * time.Millisecond), Worth: 1}
 	objects := map[ticket.ObjectName]any{
-		"service/chat": ticket.Service{Name: "chat", Kind: ticket.KindModel, Models: []string{testModel}, Ranks: []ticket.Rank{rank}, OutputTokens: 5, RetryShare: 1},
+		"service/chat": ticket.Service{Name: "chat", Kind: ticket.KindModel, Models: models, Ranks: []ticket.Rank{rank}, OutputTokens: 5, RetryShare: 1},
 		"service/desk": ticket.Service{Name: "desk", Kind: ticket.KindPlain, Ranks: []ticket.Rank{rank}, RetryShare: 1},
 		"callers/all":  ticket.CallerGroup{Teams: []ticket.Team{{Name: "team", TokenSHA256: hex.EncodeToString(digest[:]), Ranks: []string{"standard"}}}},
 	}
--- a/pkg/front/models.go
+++ b/pkg/front/models.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"encoding/json"
 	"net/http"
 )
 
@@ -27,6 +26,5 @@
 		service, _ := state.ServiceOfModel(model)
 		list.Data = append(list.Data, modelEntry{ID: model, Object: "model", OwnedBy: service.Name})
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
+	writeJSON(w, http.StatusOK, list)
 }
--- a/pkg/front/plain.go
+++ b/pkg/front/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -93,10 +94,14 @@
 	}
 }
 
+// writePlain forwards a whole response with its length, however the endpoint framed it.
 func writePlain(w http.ResponseWriter, response endpoint.PlainResponse) {
 	for name, values := range response.Header {
 		w.Header()[name] = values
 	}
+	if len(response.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
+	}
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
 }
