Take only a whole response with a handle for the end of a prefill

A prefill engine that answered 200 with an error, with an empty object or with a response that broke off was taken for one that had computed the prompt: the message parts counted as survived, the request went to a decode engine with a handle that named nothing, and this engine was blamed for the failure and rested.

Prefill decoded the first JSON value of the body and looked neither at its end nor at the handle. The body, and that of a load report, is now read to the end that its framing shows and is one value; a handle has an ID and an address. The request goes on at another prefill engine otherwise.

--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -118,6 +118,29 @@
 	_ = response.Body.Close()
 }
 
+const (
+	// maxPrefillBytes limits the response to a prefill.
+	maxPrefillBytes = 1 << 20
+	// maxReportBytes limits a load report.
+	maxReportBytes = 4 << 20
+)
+
+// readJSON decodes a body that is whole: one value, up to the end that its length, its
+// last chunk or the end of the connection shows. Errors wrap ErrFailedAfterSend.
+func readJSON(response *http.Response, limit int64, value any) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return errors.Newf("read response: %v: %w", err, ErrFailedAfterSend)
+	}
+	if int64(len(body)) > limit {
+		return errors.Newf("response is larger than %d bytes: %w", limit, ErrFailedAfterSend)
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		return errors.Newf("decode response: %v: %w", err, ErrFailedAfterSend)
+	}
+	return nil
+}
+
 // Prefill runs the prompt on a prefill engine and returns the handle of its KV
 // cache. The engine keeps the cache for less than a second.
 func (e *EngineClient) Prefill(ctx context.Context, address netip.AddrPort, call Call) (KVHandle, error) {
@@ -131,10 +154,14 @@
 	}
 	defer drainAndClose(response)
 	var decoded prefillResponse
-	if err := json.NewDecoder(io.LimitReader(response.Body, 1<<20)).Decode(&decoded); err != nil {
-		return KVHandle{}, errors.Newf("prefill: %v: %w", err, ErrFailedAfterSend)
+	if err := readJSON(response, maxPrefillBytes, &decoded); err != nil {
+		return KVHandle{}, errors.Newf("prefill: %w", err)
+	}
+	handle := decoded.Transfer.Handle
+	if handle.ID == "" || !handle.Address.IsValid() {
+		return KVHandle{}, errors.Newf("prefill: response has no handle: %w", ErrFailedAfterSend)
 	}
-	return decoded.Transfer.Handle, nil
+	return handle, nil
 }
 
 // Decode starts the output of a request from its exported KV cache. The output
@@ -206,7 +233,7 @@
 	}
 	defer drainAndClose(response)
 	var report Report
-	if err := json.NewDecoder(io.LimitReader(response.Body, 4<<20)).Decode(&report); err != nil {
+	if err := readJSON(response, maxReportBytes, &report); err != nil {
 		return Report{}, errors.Newf("read load: %w", err)
 	}
 	return report, nil
