Do not follow redirects of engines

A prefill that its engine answered with a redirect was repeated as GET at the place that the redirect names, and the response of that program was believed as the engine's. The client for engines used the default policy of net/http; now it returns redirects as responses, as the client for services does, and they are failures.

TestRedirectOfAnEngineIsNotFollowed was red before: the caller got an output for a prefill that no engine had run.

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -49,11 +49,15 @@
 // dialTimeout limits the time to connect to an endpoint.
 const dialTimeout = time.Second
 
-// newTransport returns a transport that uses each connection for one request.
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives: true,
+// newClient returns a client that uses each connection for one request and returns
+// redirects as responses.
+func newClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
--- a/pkg/endpoint/engine.go
+++ b/pkg/endpoint/engine.go
@@ -54,8 +54,10 @@
 	client *http.Client
 }
 
+// NewEngineClient returns an EngineClient that does not follow redirects. A redirect is
+// a failure of the engine.
 func NewEngineClient() *EngineClient {
-	return &EngineClient{client: &http.Client{Transport: newTransport()}}
+	return &EngineClient{client: newClient()}
 }
 
 type transferParameters struct {
--- a/pkg/endpoint/plain.go
+++ b/pkg/endpoint/plain.go
@@ -41,10 +41,7 @@
 // NewPlainClient returns a PlainClient that does not follow redirects. A redirect is
 // forwarded to the caller.
 func NewPlainClient() *PlainClient {
-	return &PlainClient{client: &http.Client{
-		Transport:     newTransport(),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &PlainClient{client: newClient()}
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded. Authorization
--- a/pkg/front/ending_prefill_test.go
+++ b/pkg/front/ending_prefill_test.go
@@ -74,3 +74,23 @@
 	faults := runCases(cases, func(c prefillCase) string { return c.run(t) })
 	require.Empty(t, faults, "%d faults:\n%s", len(faults), strings.Join(faults, "\n"))
 }
+
+// TestRedirectOfAnEngineIsNotFollowed guards against a response of another program than the one
+// that the request was granted for.
+func TestRedirectOfAnEngineIsNotFollowed(t *testing.T) {
+	s := startStandin(t, func(s *standin, received call) reply {
+		switch {
+		case received.stage == "prefill":
+			return reply{raw: "HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n"}
+		case received.stage == "plain":
+			return s.prefilled()
+		case received.stage == "decode":
+			return transports[0].reply(streamHead, wholeStream(received.from))
+		}
+		return sound(http.StatusOK, "application/json", "{}")
+	})
+	got, err := exchange(startFront(t, s.address), chatRequest("1.1", true))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, got.status, got.body)
+	require.Zero(t, s.count("plain"))
+}
