Do not forward a switch of protocols as the answer of a service

A service that answered 101 to a call that asks for no other protocol had its answer forwarded: the caller got a response without a body or an end, on a connection on which nothing followed. Bytes of the service up to its close counted as the whole answer, also for a call with a key.

The HTTP client gives the connection itself as the body of such a response. It is a failure after the call was sent now. TestSwitchOfProtocolsIsNoAnswer was red before ("expected: 502, actual: 101").

--- a/pkg/endpoint/plain.go
+++ b/pkg/endpoint/plain.go
@@ -65,6 +65,11 @@
 	if err != nil {
 		return PlainResponse{}, classifyError(err)
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		// Its body is a connection without an end.
+		_ = response.Body.Close()
+		return PlainResponse{}, errors.Newf("status %d: %w", response.StatusCode, ErrFailedAfterSend)
+	}
 	defer drainAndClose(response)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
--- a/pkg/front/ending_plain_test.go
+++ b/pkg/front/ending_plain_test.go
@@ -163,3 +163,16 @@
 	require.Equal(t, http.StatusNoContent, got.status)
 	require.Empty(t, got.header.Get("Content-Length"))
 }
+
+// TestSwitchOfProtocolsIsNoAnswer guards against a response that has no end.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	s := startStandin(t, func(*standin, call) reply {
+		return reply{raw: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n" + plainBody}
+	})
+	address := startFront(t, s.address)
+	got, err := exchange(address, rawRequest("1.1", http.MethodPost, "/services/desk/reservations", "", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Equal(t, "outcome_unknown", got.header.Get("X-Outcome"))
+	require.True(t, got.framed)
+}
