Store the content coding of an answer with its claim

A caller that repeats a call with its Idempotency-Key got the stored answer without the Content-Encoding of the first one. If the caller accepts a coding and its service uses it, the bytes were the compressed ones under the plain content type, and unreadable.

The claim keeps the content coding beside the content type. Claims that were stored before have none, as now. TestStoredAnswerIsDecodedLikeTheFirst was red before.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -40,12 +40,13 @@
 	FrontTag uint32 `cbor:"front_tag"`
 	// Content is the hash of the call. It detects the use of a key for another call.
 	Content uint64 `cbor:"content"`
-	// Status, ContentType and Body are the response of a call in PhaseDone.
-	// Truncated is true if the body was too large to store.
-	Status      int    `cbor:"status,omitempty"`
-	ContentType string `cbor:"content_type,omitempty"`
-	Body        []byte `cbor:"body,omitempty"`
-	Truncated   bool   `cbor:"truncated,omitempty"`
+	// Status, ContentType, ContentEncoding and Body are the response of a call in
+	// PhaseDone. Truncated is true if the body was too large to store.
+	Status          int    `cbor:"status,omitempty"`
+	ContentType     string `cbor:"content_type,omitempty"`
+	ContentEncoding string `cbor:"content_encoding,omitempty"`
+	Body            []byte `cbor:"body,omitempty"`
+	Truncated       bool   `cbor:"truncated,omitempty"`
 }
 
 const (
--- a/pkg/front/ending_plain_test.go
+++ b/pkg/front/ending_plain_test.go
@@ -176,3 +176,24 @@
 	require.Equal(t, "outcome_unknown", got.header.Get("X-Outcome"))
 	require.True(t, got.framed)
 }
+
+// TestStoredAnswerIsDecodedLikeTheFirst replays an answer that its service has compressed.
+func TestStoredAnswerIsDecodedLikeTheFirst(t *testing.T) {
+	s := startStandin(t, func(*standin, call) reply {
+		return reply{raw: "HTTP/1.1 201 Created\r\nContent-Type: application/json\r\nContent-Encoding: gzip\r\n" + lengthHeader(4) + "gzip"}
+	})
+	address := startFront(t, s.address)
+	request := rawRequest("1.1", http.MethodPost, "/services/desk/reservations", "Idempotency-Key: key-1\r\nAccept-Encoding: gzip\r\n", "")
+	first, err := exchange(address, request)
+	require.NoError(t, err)
+	require.Equal(t, "gzip", first.header.Get("Content-Encoding"))
+	var again received
+	require.Eventually(t, func() bool {
+		again, err = exchange(address, request)
+		return err == nil && again.status != http.StatusConflict
+	}, testTimeout, 5*time.Millisecond)
+	require.Equal(t, http.StatusCreated, again.status)
+	require.Equal(t, "true", again.header.Get("Idempotent-Replayed"))
+	require.Equal(t, first.body, again.body)
+	require.Equal(t, "gzip", again.header.Get("Content-Encoding"))
+}
--- a/pkg/front/plain_keyed.go
+++ b/pkg/front/plain_keyed.go
@@ -144,6 +144,9 @@
 			return nil, newFault(codeAlreadyRun, "the call has run; its answer was too large to keep")
 		}
 		header := http.Header{"Content-Type": {record.ContentType}, headerReplayed: {"true"}}
+		if record.ContentEncoding != "" {
+			header.Set("Content-Encoding", record.ContentEncoding)
+		}
 		return &endpoint.PlainResponse{Status: record.Status, Header: header, Body: record.Body}, nil
 	case claim.PhaseClaimed:
 		if f.config.IsLive(record.Host, record.FrontTag) {
@@ -172,6 +175,7 @@
 		record.Phase = claim.PhaseDone
 		record.Status = response.Status
 		record.ContentType = response.Header.Get("Content-Type")
+		record.ContentEncoding = response.Header.Get("Content-Encoding")
 		record.Body = response.Body
 		if len(record.Body) > claim.MaxBodyBytes {
 			record.Body = nil
