Do not take the result of an earlier incarnation's claim for a current one

A call with an Idempotency-Key could be sent although its claim was not stored, and so run twice or run beside another call with the same key.

Writes to the keeper of a bucket were numbered from 1 in each incarnation of a daemon, and a result was matched by its number alone. A result that the keeper sent after a daemon had restarted, for a claim of the time before, confirmed the new daemon's claim of the same number. Numbers now begin at a random one, so that the wire format stays.

TestResultForAnEarlierIncarnationConfirmsNoClaim was red before ("the claim of another incarnation was taken for this one", 3 of 3) and is green 5 of 5.

--- a/pkg/claim/keeper.go
+++ b/pkg/claim/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -68,7 +69,10 @@
 // NewKeeper returns a Keeper that commits through committer.
 func NewKeeper(config Config, committer *Committer) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Keeper{config: config, committer: committer, ctx: ctx, cancel: cancel, pending: map[uint64]chan wireResult{}}
+	k := &Keeper{config: config, committer: committer, ctx: ctx, cancel: cancel, pending: map[uint64]chan wireResult{}}
+	// A result for an earlier incarnation of this host must match no serial of this one.
+	k.serial.Store(rand.Uint64())
+	return k
 }
 
 // Close cancels the writes that this daemon commits for others.
