--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -70,6 +70,8 @@
 	lastContact time.Time
 	lastFailure time.Time
 	listed      bool
+	// unreadable is the number of entries in the last response that could not be read.
+	unreadable int
 	// startedAt is the time at which Serve was called.
 	startedAt time.Time
 	// paused is true while peers are read instead of the store.
@@ -175,7 +177,7 @@
 		m.mu.Lock()
 		m.listed = false
 		m.mu.Unlock()
-		m.log.Info("store history was lost, entries are listed again", "revision", revision)
+		m.log.Info("store history was lost, entries are listed again", "revision", revision, "error", err.Error())
 		return nil
 	}
 	if err != nil {
@@ -223,6 +225,15 @@
 	m.lastContact = now
 }
 
+// recordUnreadable logs the number of entries that could not be read when it changes. mu must be
+// held.
+func (m *Mirror) recordUnreadable(count int) {
+	if count != m.unreadable {
+		m.log.Info("entries of the store cannot be read", "entries", count)
+	}
+	m.unreadable = count
+}
+
 // elapsed returns the time between at and now, 0 when at is zero.
 func elapsed(now, at time.Time) time.Duration {
 	if at.IsZero() {
@@ -236,6 +247,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordContact()
+	m.recordUnreadable(listing.Unreadable)
 	m.mergeListing(listing)
 	m.listed = true
 	m.revision = max(m.revision, listing.Revision)
@@ -266,6 +278,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordContact()
+	if len(changes.Events) > 0 || changes.Unreadable > 0 {
+		m.recordUnreadable(changes.Unreadable)
+	}
 	m.applyEvents(changes.Events)
 	m.revision = max(m.revision, changes.Revision)
 	if len(changes.Events) > 0 {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -79,12 +79,16 @@
 type Listing struct {
 	Entries  []Entry
 	Revision Revision
+	// Unreadable is the number of entries that are missing because they cannot be read.
+	Unreadable int
 }
 
 // Changes contains the events under a prefix up to Revision, in order.
 type Changes struct {
 	Events   []Event
 	Revision Revision
+	// Unreadable is the number of events that are missing because they cannot be read.
+	Unreadable int
 }
 
 // Store contains the calls to the key-value service. The etcd adapter sets Watch, which
