Pace listings and polls that a store ends at once

What callers could see: a store that is flooded by the daemons, with refusals of its other calls, after changes that no poll can return or responses without a change that come at once. The mirror sent 1,000 calls a second to a store that responds in a millisecond, since it paused only after errors.

A listing now starts a second after the last but one, and a poll that brought nothing new 200 ms after the one before. The first listing after lost history still starts at once.

TestStoreThatRespondsAtOnceIsNotPolledInALoop and TestHistoryThatIsLostWithEachPollIsNotListedInALoop were red before with 10,001 calls in 10 s of virtual time each, and are green now.

--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -21,6 +21,10 @@
 	pollRoundTripMargin = 700 * time.Millisecond
 	// listTimeout limits one listing of all entries.
 	listTimeout = 3 * time.Second
+	// minListInterval is the minimum interval between the starts of a listing and of the next
+	// but one. minPollInterval is that between two polls of which the first returned nothing.
+	minListInterval = time.Second
+	minPollInterval = 200 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay limit the delay before jitter after a failed
 	// call. The delay doubles with each failure.
 	initialRetryDelay = 40 * time.Millisecond
@@ -70,6 +74,8 @@
 	lastContact time.Time
 	lastFailure time.Time
 	listed      bool
+	// listedAt are the starts of the last two listings.
+	listedAt [2]time.Time
 	// unreadable is the number of entries in the last response that could not be read.
 	unreadable int
 	// startedAt is the time at which Serve was called.
@@ -126,12 +132,8 @@
 			continue
 		}
 		m.recordFailure(err)
-		wait := delay/2 + rand.N(delay)
+		wait(ctx, delay/2+rand.N(delay))
 		delay = min(delay*2, maxRetryDelay)
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
 	}
 	return ctx.Err()
 }
@@ -156,22 +158,38 @@
 
 // listOrPoll makes one call to the store: a listing before the first poll and after
 // ErrHistoryLost, a poll otherwise.
-func (m *Mirror) listOrPoll(parent context.Context) error {
+func (m *Mirror) listOrPoll(ctx context.Context) error {
 	m.mu.Lock()
 	listed, revision := m.listed, m.revision
 	m.mu.Unlock()
 	if !listed {
-		ctx, cancel := context.WithTimeout(parent, listTimeout)
-		defer cancel()
-		listing, err := m.store.List(ctx, m.prefix)
-		if err != nil {
-			return errors.Newf("list entries: %w", err)
-		}
-		m.applyListing(listing)
-		return nil
+		return m.list(ctx)
 	}
+	return m.poll(ctx, revision)
+}
+
+func (m *Mirror) list(parent context.Context) error {
+	m.mu.Lock()
+	pause := minListInterval - m.now().Sub(m.listedAt[0])
+	m.mu.Unlock()
+	wait(parent, pause)
+	m.mu.Lock()
+	m.listedAt = [2]time.Time{m.listedAt[1], m.now()}
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(parent, listTimeout)
+	defer cancel()
+	listing, err := m.store.List(ctx, m.prefix)
+	if err != nil {
+		return errors.Newf("list entries: %w", err)
+	}
+	m.applyListing(listing)
+	return nil
+}
+
+func (m *Mirror) poll(parent context.Context, revision Revision) error {
 	ctx, cancel := context.WithTimeout(parent, pollWait+pollRoundTripMargin)
 	defer cancel()
+	start := m.now()
 	changes, err := m.store.Poll(ctx, m.prefix, revision, pollWait)
 	if errors.Is(err, ErrHistoryLost) {
 		m.mu.Lock()
@@ -184,24 +202,35 @@
 		return errors.Newf("poll for changes: %w", err)
 	}
 	m.applyChanges(changes)
+	if changes.Revision <= revision {
+		wait(parent, minPollInterval-m.now().Sub(start))
+	}
 	if len(changes.Events) > 0 {
 		m.waitForBatch(parent)
 	}
 	return nil
 }
 
+// wait returns after a duration, or when ctx is done.
+func wait(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
+
 // waitForBatch waits so that further changes arrive in one poll.
 func (m *Mirror) waitForBatch(ctx context.Context) {
 	m.mu.Lock()
-	wait := min(time.Duration(len(m.entries))*batchDelayPerEntry, maxBatchDelay)
+	delay := min(time.Duration(len(m.entries))*batchDelayPerEntry, maxBatchDelay)
 	if len(m.entries) > smallSiteEntryLimit && m.now().Sub(m.startedAt) < startupPeriod {
-		wait = startupBatchDelay
+		delay = startupBatchDelay
 	}
 	m.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
+	wait(ctx, delay)
 }
 
 func (m *Mirror) recordFailure(err error) {
