Limit the bytes of the changes that are kept for peers

What callers could see: a daemon that ends again and again for lack of memory, with all its streams. A mirror kept the last 4,096 changes with their values. An entry of a megabyte that another writer changes every second made that 4 GB in little more than an hour. In the other direction, a listing of more than 16 MB, as a thousand odd entries make it, could not be read from a peer at all.

The values of kept changes are now limited to 8 MB. A peer that is further behind reads all entries. A listing of a peer may have 64 MB, more than a thousand entries of servers of the largest size.

--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -44,8 +44,10 @@
 	// smallSiteEntryLimit is the number of entries up to which startupBatchDelay does not
 	// apply: the load of the polls is low.
 	smallSiteEntryLimit = 40
-	// recentEventLimit limits the changes that are kept for peers.
+	// recentEventLimit limits the changes that are kept for peers, and recentByteLimit the
+	// bytes of their values.
 	recentEventLimit = 4096
+	recentByteLimit  = 8 << 20
 )
 
 // Mirror keeps a live copy of the entries under a prefix. An entry is never replaced by an
@@ -69,6 +71,8 @@
 	// recent contains all changes after recentAfter, in order, for peers that lack them.
 	recent      []Event
 	recentAfter Revision
+	// recentBytes is the size of the values in recent.
+	recentBytes int
 	// lastContact is the time of the last response of the store, lastFailure the time of
 	// the last failed call.
 	lastContact time.Time
@@ -325,6 +329,7 @@
 	for _, event := range events {
 		if event.Entry.Revision > known {
 			m.recent = append(m.recent, event)
+			m.recentBytes += len(event.Entry.Value)
 			hasNew = true
 		}
 		if event.Deleted {
@@ -333,8 +338,13 @@
 		}
 		m.put(event.Entry)
 	}
-	if excess := len(m.recent) - recentEventLimit; excess > 0 {
-		m.recentAfter = m.recent[excess-1].Entry.Revision
+	excess := 0
+	for len(m.recent)-excess > recentEventLimit || m.recentBytes > recentByteLimit {
+		m.recentAfter = m.recent[excess].Entry.Revision
+		m.recentBytes -= len(m.recent[excess].Entry.Value)
+		excess++
+	}
+	if excess > 0 {
 		m.recent = append([]Event(nil), m.recent[excess:]...)
 	}
 	return hasNew
@@ -343,7 +353,7 @@
 // resetRecent clears the changes for peers after a listing, which does not contain the
 // revisions at which entries were removed. mu must be held.
 func (m *Mirror) resetRecent() {
-	m.recent, m.recentAfter = nil, m.knownRevision()
+	m.recent, m.recentBytes, m.recentAfter = nil, 0, m.knownRevision()
 }
 
 // ChangesSince returns all changes after a revision and the time of the last failed call.
--- a/pkg/store/mirror_odd_test.go
+++ b/pkg/store/mirror_odd_test.go
@@ -1,8 +1,10 @@
 package store_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +68,47 @@
 	require.GreaterOrEqual(t, listings, 10)
 	require.Equal(t, map[string]string{"a": fmt.Sprint(listings)}, values(m), "the mirror follows")
 }
+
+// TestRewrittenEntryDoesNotFillTheMemory covers an entry of another writer that changes with
+// each poll. Its changes are kept for peers.
+func TestRewrittenEntryDoesNotFillTheMemory(t *testing.T) {
+	const bytesLimit = 16 << 20
+	peer := store.NewMirror(&store.Store{}, "", nil, time.Now, logr.Discard())
+	read := newPeerReader(t, map[string]http.HandlerFunc{store.PeerEntriesPath: peer.ServePeerEntries, store.PeerChangesPath: peer.ServePeerChanges})
+	m := store.NewMirror(&store.Store{}, "", nil, time.Now, logr.Discard())
+	peer.AdoptListing(store.Listing{Entries: []store.Entry{entry("sound", "1", 1)}, Revision: 1}, time.Time{})
+	require.Equal(t, 1, read(m))
+	value := bytes.Repeat([]byte("x"), 128<<10)
+	for revision := store.Revision(2); revision < 1000; revision++ {
+		peer.AdoptChanges(store.Changes{Revision: revision, Events: []store.Event{{Entry: store.Entry{Key: "odd", Value: value, Revision: revision}}}}, time.Time{})
+	}
+	changes, _, ok := peer.ChangesSince(peer.Revision() - 10)
+	require.True(t, ok)
+	require.Len(t, changes.Events, 10, "a peer that reads often reads the changes alone")
+	_, _, ok = peer.ChangesSince(1)
+	require.False(t, ok, "all changes are %d MB", len(value)*998>>20)
+	size := 0
+	for after := peer.Revision(); ok || after == peer.Revision(); after-- {
+		changes, _, ok = peer.ChangesSince(after)
+		size = max(size, len(changes.Events)*len(value))
+	}
+	require.LessOrEqual(t, size, bytesLimit)
+	require.Equal(t, 2, read(m), "a peer that reads seldom reads all entries")
+	require.Equal(t, values(peer), values(m))
+}
+
+// TestThousandLargeEntriesDoNotStopAPeerFromReading covers a daemon that reads the entries of
+// a peer instead of the store.
+func TestThousandLargeEntriesDoNotStopAPeerFromReading(t *testing.T) {
+	peer := store.NewMirror(&store.Store{}, "", nil, time.Now, logr.Discard())
+	read := newPeerReader(t, map[string]http.HandlerFunc{store.PeerEntriesPath: peer.ServePeerEntries, store.PeerChangesPath: peer.ServePeerChanges})
+	entries := []store.Entry{entry("sound", "1", 1)}
+	value := bytes.Repeat([]byte{'['}, 16<<10)
+	for i := range 1100 {
+		entries = append(entries, store.Entry{Key: fmt.Sprint("odd-", i, "\x00\u00e4"), Value: value, Revision: store.Revision(i + 2)})
+	}
+	peer.AdoptListing(store.Listing{Entries: entries, Revision: 2000}, time.Time{})
+	m := store.NewMirror(&store.Store{}, "", nil, time.Now, logr.Discard())
+	require.Equal(t, 1101, read(m))
+	require.Equal(t, values(peer), values(m))
+}
--- a/pkg/store/mirror_peer.go
+++ b/pkg/store/mirror_peer.go
@@ -19,7 +19,7 @@
 )
 
 // maxPeerBytes limits the response that is read from a peer.
-const maxPeerBytes = 16 << 20
+const maxPeerBytes = 64 << 20
 
 // wireEntry is an entry in a message between daemons.
 type wireEntry struct {
