Give a long listing more time at each attempt

What callers could see: a daemon that never becomes ready, or never follows again after lost history, while the store holds many large entries of other writers. A listing had 3 s for all its pages. One that takes longer was ended and begun anew for ever.

The time doubles with each listing that exceeds it, up to 12 s.

TestLongListingCompletes (a listing of 10 s) was red before and is green now.

--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -19,8 +19,10 @@
 	pollWait = 2 * time.Second
 	// pollRoundTripMargin is added to pollWait in the timeout of a poll.
 	pollRoundTripMargin = 700 * time.Millisecond
-	// listTimeout limits one listing of all entries.
-	listTimeout = 3 * time.Second
+	// listTimeout limits one listing of all entries. It doubles with each listing that takes
+	// longer, up to maxListTimeout, as other writers may have written many large entries.
+	listTimeout    = 3 * time.Second
+	maxListTimeout = 12 * time.Second
 	// minListInterval is the minimum interval between the starts of a listing and of the next
 	// but one. minPollInterval is that between two polls of which the first returned nothing.
 	minListInterval = time.Second
@@ -78,8 +80,9 @@
 	lastContact time.Time
 	lastFailure time.Time
 	listed      bool
-	// listedAt are the starts of the last two listings.
-	listedAt [2]time.Time
+	// listedAt are the starts of the last two listings, listTimeout is the limit of the next.
+	listedAt    [2]time.Time
+	listTimeout time.Duration
 	// unreadable is the number of entries in the last response that could not be read.
 	unreadable int
 	// startedAt is the time at which Serve was called.
@@ -103,7 +106,7 @@
 func NewMirror(s *Store, prefix string, onChange func(Content), now func() time.Time, log logr.Logger) *Mirror {
 	return &Mirror{
 		store: s, prefix: prefix, now: now, log: log, onChange: onChange, done: make(chan struct{}),
-		entries: map[string]Entry{}, wake: make(chan struct{}, 1),
+		entries: map[string]Entry{}, wake: make(chan struct{}, 1), listTimeout: listTimeout,
 	}
 }
 
@@ -174,16 +177,21 @@
 
 func (m *Mirror) list(parent context.Context) error {
 	m.mu.Lock()
-	pause := minListInterval - m.now().Sub(m.listedAt[0])
+	pause, timeout := minListInterval-m.now().Sub(m.listedAt[0]), m.listTimeout
 	m.mu.Unlock()
 	wait(parent, pause)
 	m.mu.Lock()
 	m.listedAt = [2]time.Time{m.listedAt[1], m.now()}
 	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(parent, listTimeout)
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	listing, err := m.store.List(ctx, m.prefix)
 	if err != nil {
+		if ctx.Err() != nil {
+			m.mu.Lock()
+			m.listTimeout = min(2*m.listTimeout, maxListTimeout)
+			m.mu.Unlock()
+		}
 		return errors.Newf("list entries: %w", err)
 	}
 	m.applyListing(listing)
@@ -282,7 +290,7 @@
 	m.recordContact()
 	m.recordUnreadable(listing.Unreadable)
 	m.mergeListing(listing)
-	m.listed = true
+	m.listed, m.listTimeout = true, listTimeout
 	m.revision = max(m.revision, listing.Revision)
 	m.resetRecent()
 	m.publish(m.lastFailure)
--- a/pkg/store/mirror_odd_test.go
+++ b/pkg/store/mirror_odd_test.go
@@ -69,6 +69,29 @@
 	require.Equal(t, map[string]string{"a": fmt.Sprint(listings)}, values(m), "the mirror follows")
 }
 
+// TestLongListingCompletes covers a store with so many large entries of other writers that a
+// listing takes longer than listings are given at first.
+func TestLongListingCompletes(t *testing.T) {
+	m := runStore(t, &store.Store{
+		List: func(ctx context.Context, _ string) (store.Listing, error) {
+			select {
+			case <-ctx.Done():
+				return store.Listing{}, ctx.Err()
+			case <-time.After(10 * time.Second):
+				return store.Listing{Revision: 5, Entries: []store.Entry{entry("a", "1", 5)}}, nil
+			}
+		},
+		Poll: func(ctx context.Context, _ string, after store.Revision, wait time.Duration) (store.Changes, error) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+			return store.Changes{Revision: after}, ctx.Err()
+		},
+	}, 30*time.Second)
+	require.Equal(t, map[string]string{"a": "1"}, values(m))
+}
+
 // TestRewrittenEntryDoesNotFillTheMemory covers an entry of another writer that changes with
 // each poll. Its changes are kept for peers.
 func TestRewrittenEntryDoesNotFillTheMemory(t *testing.T) {
