Ignore incarnations in the far future

What callers could see: requests decided by owners that do not exist. An entry of a daemon in the store, or a message, with an incarnation beyond any clock replaced the daemon's address at all others for good, as no later update supersedes it. The largest number wrapped to 0 when the daemon itself refuted it, so that each daemon's suspicion and the refutation of it went on for ever.

--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -57,9 +57,17 @@
 	return t.digest
 }
 
+// maxClockDifference is the largest difference between the clocks of two hosts. No update of a
+// daemon would supersede one whose incarnation starts later than any.
+const maxClockDifference = 24 * time.Hour
+
 // Merge merges an update into the table. If the table changed, it returns the entry to
-// broadcast and true: the update itself, or the refutation of an update about this daemon.
+// broadcast and true: the update itself, or the refutation of an update about this daemon. An
+// update whose incarnation starts more than maxClockDifference after now is ignored.
 func (t *Table) Merge(now time.Time, update Member) (Member, bool) {
+	if update.Incarnation.Start().Sub(now) > maxClockDifference {
+		return Member{}, false
+	}
 	if update.Host == t.self.Host {
 		return t.refute(now, update)
 	}
