Use no entry of a daemon that the daemon did not write

What callers could see: a daemon taken for dead, reached at a wrong address, or made the owner of all shards, after another writer's entry among those of the daemons. An entry was used for the host that it named, whatever its key, with an address of any length, any state and any number of processors.

An entry must now be of the host in its key, alive, with a valid address and port, and at most 4,096 processors. The same bounds hold for updates in messages.

TestOddEntryOfADaemonIsNotUsed was red before (an entry without a host was taken) and is green now.

--- a/pkg/member/registration.go
+++ b/pkg/member/registration.go
@@ -112,19 +112,34 @@
 
 // decodeEntry returns the cached entry, and decodes it if its revision has
 // changed. mu must be held.
-func (r *Registration) decodeEntry(key string, entry store.Entry) decodedEntry {
+func (r *Registration) decodeEntry(key, host string, entry store.Entry) decodedEntry {
 	if cached, ok := r.decoded[key]; ok && cached.revision == entry.Revision {
 		return cached
 	}
-	var wire wireMember
-	if err := link.Decode(entry.Value, &wire); err != nil {
+	m, err := decodeRegistration(host, entry.Value)
+	if err != nil {
 		r.log.Info("cannot decode the entry of a daemon in the store", "key", key, "error", err.Error())
 		return decodedEntry{revision: entry.Revision}
 	}
-	m := decodeMember(wire)
 	return decodedEntry{revision: entry.Revision, member: &m}
 }
 
+// decodeRegistration decodes the entry that a daemon writes for itself.
+func decodeRegistration(host string, value []byte) (Member, error) {
+	var wire wireMember
+	if err := link.Decode(value, &wire); err != nil {
+		return Member{}, err
+	}
+	m, err := decodeMember(wire)
+	if err != nil {
+		return Member{}, err
+	}
+	if m.Host != host || m.State != StateAlive {
+		return Member{}, errors.Newf("entry is of host %.40q in state %s", m.Host, m.State)
+	}
+	return m, nil
+}
+
 // Update processes the content of the store and returns the other daemons. If the
 // entry of this daemon is missing, Serve registers it again.
 func (r *Registration) Update(content store.Content) []Member {
@@ -137,9 +152,12 @@
 		if !ok {
 			continue
 		}
-		found = found || host == r.self.Host
-		decoded[key] = r.decodeEntry(key, entry)
-		if m := decoded[key].member; m != nil && host != r.self.Host {
+		if host == r.self.Host {
+			found = true
+			continue
+		}
+		decoded[key] = r.decodeEntry(key, host, entry)
+		if m := decoded[key].member; m != nil {
 			others = append(others, *m)
 		}
 	}
--- a/pkg/member/service_messages.go
+++ b/pkg/member/service_messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cockroachdb/errors"
 
 	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
@@ -23,14 +24,24 @@
 	}
 }
 
-func decodeMember(w wireMember) Member {
-	address, _ := netip.AddrFromSlice(w.Address)
+// maxProcessors limits the processors of a daemon. The daemons with the most own the shards.
+const maxProcessors = 4096
+
+// decodeMember returns an error for values that no daemon sends.
+func decodeMember(w wireMember) (Member, error) {
+	address, ok := netip.AddrFromSlice(w.Address)
+	if !ok || w.Port == 0 {
+		return Member{}, errors.New("invalid address")
+	}
+	if w.Host == "" || w.State > uint8(StateDead) || w.Milliprocessors > maxProcessors*milliprocessorsPerProcessor {
+		return Member{}, errors.Newf("invalid host %.40q, state %d or processors %d", w.Host, w.State, w.Milliprocessors)
+	}
 	return Member{
 		Host: w.Host, AvailabilityZone: w.AvailabilityZone,
 		Peer:        netip.AddrPortFrom(address, w.Port),
 		Incarnation: Incarnation(w.Incarnation), State: State(w.State),
 		Processors: float64(w.Milliprocessors) / milliprocessorsPerProcessor,
-	}
+	}, nil
 }
 
 func (s *Service) handleHeartbeat(m *message.Message) error {
@@ -94,7 +105,9 @@
 		return nil
 	}
 	for _, wire := range list.Members {
-		s.merge(decodeMember(wire))
+		if update, err := decodeMember(wire); err == nil {
+			s.merge(update)
+		}
 	}
 	if list.Reply {
 		s.sendSync(link.Host(m), false)
@@ -229,8 +242,12 @@
 	if err := link.Decode(payload, &wire); err != nil {
 		return false
 	}
+	update, err := decodeMember(wire)
+	if err != nil {
+		return false
+	}
 	s.mu.Lock()
-	outgoing, ok := s.table.Merge(s.config.Now(), decodeMember(wire))
+	outgoing, ok := s.table.Merge(s.config.Now(), update)
 	s.mu.Unlock()
 	if !ok {
 		return false
