Bound the log lines and the memory of entries that cannot be used

What operators could see: a log in which a writer of odd entries leaves no room for other lines (1,000 lines a second are written, the rest is left out), and memory that grows with each key that such a writer ever used.

Each change of each entry that could not be decoded was logged, and the revision of its last decoding was kept after the entry was gone.

At most 20 such lines are now written in 10 s, and one with the number of the others. The revisions are dropped with their entries.

Red before, green after: TestThousandOddEntriesDoNotFloodTheLog (60,000 lines in a minute, 126 at most now), TestRemovedOddEntriesTakeNoMemory. TestEntryThatIsOddNowAndThenFollowsEachChange was green before and guards the return of an entry.

--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -19,6 +19,10 @@
 	// outageWindow is the time after a failed store call in which a missing entry may be
 	// due to the outage.
 	outageWindow = 3 * time.Second
+	// undecodableLogLimit limits the log lines of entries that cannot be decoded in an
+	// undecodableLogInterval. Another writer may write thousands again and again.
+	undecodableLogLimit    = 20
+	undecodableLogInterval = 10 * time.Second
 )
 
 // Format contains the store's keys of the entries that a Directory needs, and decodes
@@ -53,8 +57,11 @@
 	// drainNotices contains the drain notices of endpoints by name.
 	drainNotices map[string]drainNotice
 	// undecodable contains the revisions of entries that could not be decoded, so that
-	// each is logged once.
+	// each is decoded once.
 	undecodable map[string]store.Revision
+	// undecodableLog counts the log lines of these entries since undecodableLogSince.
+	undecodableLog      int
+	undecodableLogSince time.Time
 }
 
 type decodedEndpoint struct {
@@ -123,7 +130,12 @@
 	for key, entry := range content.Entries {
 		name, ok := strings.CutPrefix(key, d.format.EndpointPrefix)
 		if ok {
-			changed = d.updateEndpoint(name, entry) || changed
+			changed = d.updateEndpoint(now, name, entry) || changed
+		}
+	}
+	for name := range d.undecodable {
+		if _, ok := content.Entries[d.format.EndpointPrefix+name]; !ok {
+			delete(d.undecodable, name)
 		}
 	}
 	afterOutage := now.Sub(content.LastFailure) < outageWindow
@@ -136,7 +148,7 @@
 }
 
 // updateEndpoint reports whether an entry changed its endpoint.
-func (d *Directory) updateEndpoint(name string, entry store.Entry) bool {
+func (d *Directory) updateEndpoint(now time.Time, name string, entry store.Entry) bool {
 	delete(d.missing, name)
 	known, ok := d.decoded[name]
 	if ok && entry.Revision <= known.revision {
@@ -148,7 +160,7 @@
 	endpoint, err := d.format.DecodeEndpoint(name, entry.Value)
 	if err != nil {
 		d.undecodable[name] = entry.Revision
-		d.log.Info("endpoint entry cannot be used", "endpoint", name, "revision", entry.Revision, "error", err.Error())
+		d.logUndecodable(now, name, entry.Revision, err)
 		if ok {
 			d.removeEndpoint(name, "entry cannot be used")
 		}
@@ -164,6 +176,21 @@
 	return true
 }
 
+// logUndecodable logs an entry that could not be decoded. It counts the entries beyond
+// undecodableLogLimit and logs their number with the first one of the next interval.
+func (d *Directory) logUndecodable(now time.Time, name string, revision store.Revision, err error) {
+	if now.Sub(d.undecodableLogSince) >= undecodableLogInterval {
+		if more := d.undecodableLog - undecodableLogLimit; more > 0 {
+			d.log.Info("more endpoint entries could not be used", "entries", more)
+		}
+		d.undecodableLog, d.undecodableLogSince = 0, now
+	}
+	d.undecodableLog++
+	if d.undecodableLog <= undecodableLogLimit {
+		d.log.Info("endpoint entry cannot be used", "endpoint", name, "revision", revision, "error", err.Error())
+	}
+}
+
 // handleMissing handles an endpoint without an entry. It reports whether the endpoint was
 // removed.
 func (d *Directory) handleMissing(now time.Time, name string, afterOutage bool) bool {
--- /dev/null
+++ b/pkg/directory/odd_test.go
@@ -0,0 +1,93 @@
+package directory_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+// putOdd writes many entries that cannot be decoded, and updates the directory.
+func (f *fixture) putOdd(count int) {
+	for i := range count {
+		f.content.Revision++
+		key := fmt.Sprint("endpoints/odd-", i)
+		f.content.Entries[key] = store.Entry{Key: key, Value: []byte("odd"), Revision: f.content.Revision}
+	}
+	f.directory.Update(f.content)
+}
+
+// TestThousandOddEntriesDoNotFloodTheLog covers a writer that changes a thousand entries each
+// second. The other entries are used at once.
+func TestThousandOddEntriesDoNotFloodTheLog(t *testing.T) {
+	f := newFixture()
+	var lines []string
+	log := funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	f.directory = directory.New(format, func(*directory.State) { f.changes++ }, func() time.Time { return f.now }, log)
+	f.put("config", "1")
+	f.put("endpoints/a", "service,ready")
+	lines = nil
+	for second := range 60 {
+		f.putOdd(1000)
+		f.put("endpoints/a", []string{"service,ready", "service,leaving"}[second%2])
+		require.Equal(t, second%2 == 1, f.directory.Current().Endpoints["a"].Leaving)
+		f.now = f.now.Add(time.Second)
+	}
+	odd := 0
+	for _, line := range lines {
+		if strings.Contains(line, "could not be used") || strings.Contains(line, "cannot be used") {
+			odd++
+		}
+	}
+	require.LessOrEqual(t, odd, 6*21, "20 lines and a count in 10 s")
+	require.GreaterOrEqual(t, odd, 6*20)
+	require.Contains(t, strings.Join(lines, "\n"), `"entries"=9980`)
+}
+
+// TestEntryThatIsOddNowAndThenFollowsEachChange covers an entry that two writers change.
+func TestEntryThatIsOddNowAndThenFollowsEachChange(t *testing.T) {
+	f := newFixture()
+	f.put("config", "1")
+	for range 5 {
+		f.put("endpoints/a", "service,ready")
+		require.Len(t, f.directory.Current().Serving("service"), 1)
+		f.put("endpoints/a", "odd")
+		require.Empty(t, f.directory.Current().Serving("service"))
+		require.Empty(t, f.directory.Current().Endpoints)
+		f.remove("endpoints/a")
+	}
+}
+
+// TestRemovedOddEntriesTakeNoMemory covers entries of another writer that come and go under
+// new keys.
+func TestRemovedOddEntriesTakeNoMemory(t *testing.T) {
+	f := newFixture()
+	f.put("config", "1")
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := heap()
+	for round := range 100 {
+		f.content.Entries = map[string]store.Entry{}
+		for i := range 1000 {
+			f.content.Revision++
+			key := fmt.Sprintf("endpoints/odd-%0100d", round*1000+i)
+			f.content.Entries[key] = store.Entry{Key: key, Value: []byte("odd"), Revision: f.content.Revision}
+		}
+		f.directory.Update(f.content)
+	}
+	f.content.Entries = map[string]store.Entry{}
+	f.directory.Update(f.content)
+	require.Less(t, heap(), before+4<<20, "the keys alone are 11 MB")
+	runtime.KeepAlive(f)
+}
