--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -42,22 +42,20 @@
 	// usableUntil is the time at which the idle timeout expires.
 	usableUntil time.Time
 	// carried contains the hashes of the IDs of all requests that were sent on the connection.
-	carried []uint64
+	carried []idHash
 }
 
-// idSeed is the seed of the hashes of IDs.
-var idSeed = maphash.MakeSeed()
-
-// hasCarried reports whether a request with an ID was sent on the connection. If the hashes of
+// idHash is the hash of the ID of a request, 0 for a request without an ID. If the hashes of
 // two IDs are equal, a connection is avoided without need.
-func (c *connection) hasCarried(id string) bool {
-	return id != "" && slices.Contains(c.carried, maphash.String(idSeed, id))
-}
+type idHash uint64
 
-func (c *connection) recordCarried(id string) {
-	if id != "" {
-		c.carried = append(c.carried, maphash.String(idSeed, id))
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) idHash {
+	if id == "" {
+		return 0
 	}
+	return max(idHash(maphash.String(idSeed, id)), 1)
 }
 
 // NewPool returns an empty Pool.
@@ -128,7 +126,6 @@
 	if err != nil {
 		return nil, err
 	}
-	c.recordCarried(request.id())
 	e := &exchange{connection: c, written: make(chan struct{})}
 	e.stopInterrupt = context.AfterFunc(ctx, c.interrupt)
 	if len(request.Body) <= smallBodyLimit {
@@ -161,25 +158,36 @@
 	return nil
 }
 
-// acquire returns a usable idle connection that has not carried the ID of a request, or a new
-// connection.
+// acquire returns a connection that has not carried the ID of a request, and records that it
+// carries it now.
 func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, request *Request) (*connection, error) {
-	id := request.id()
-	if request.NewConnection || (request.IDHeader != "" && id == "") {
-		return p.connect(ctx, address)
+	id := hashID(request.id())
+	var c *connection
+	if !request.NewConnection && (request.IDHeader == "" || id != 0) {
+		c = p.reuse(address, id)
+	}
+	if c == nil {
+		var err error
+		if c, err = p.connect(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	if id != 0 {
+		c.carried = append(c.carried, id)
 	}
+	return c, nil
+}
+
+// reuse removes and returns a usable idle connection that has not carried an ID, nil for none.
+func (p *Pool) reuse(address netip.AddrPort, id idHash) *connection {
 	now := p.Now()
 	for {
 		c := p.popIdle(address, id)
-		if c == nil {
-			break
-		}
-		if now.Before(c.usableUntil) && isReusable(c.socket) {
-			return c, nil
+		if c == nil || (now.Before(c.usableUntil) && isReusable(c.socket)) {
+			return c
 		}
 		c.close()
 	}
-	return p.connect(ctx, address)
 }
 
 // connect opens a connection within the limit of the address. At the limit, it replaces the
@@ -212,12 +220,12 @@
 
 // popIdle removes and returns the idle connection that was used last and has not carried an
 // ID, nil for none.
-func (p *Pool) popIdle(address netip.AddrPort, id string) *connection {
+func (p *Pool) popIdle(address netip.AddrPort, id idHash) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if !c.hasCarried(id) {
+		if id == 0 || !slices.Contains(c.carried, id) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			p.reused++
 			return c
