Let the bytes behind a response arrive at a fixed moment in their test

The test asked for a success.

The first further bytes now come with the response, and everything that the test asks stays as it was.

--- a/pkg/connection/endless_test.go
+++ b/pkg/connection/endless_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/turmerictide/turmerictide/pkg/connection"
@@ -69,11 +70,13 @@
 	}
 }
 
+// TestConnectionIsClosedAfterResponseLongerThanItsLength has the first further bytes arrive with
+// the response.
 func TestConnectionIsClosedAfterResponseLongerThanItsLength(t *testing.T) {
 	var written atomic.Int64
 	address, accepted := serve(t, func(_ *testing.T, conn net.Conn, request *http.Request, _ int) bool {
 		_, _ = io.Copy(io.Discard, request.Body)
-		write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+		write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nContent-Length: 2\r\n\r\nokmore")
 		writeForever(conn, "more", &written)
 		return false
 	})
@@ -83,6 +86,27 @@
 	require.EqualValues(t, 2, accepted.Load())
 }
 
+// TestBytesAfterAResponseAreNoResponseToTheNextRequest has the further bytes arrive when the next
+// request has been sent. It cannot be known then that the endpoint did not run that request.
+func TestBytesAfterAResponseAreNoResponseToTheNextRequest(t *testing.T) {
+	var written atomic.Int64
+	address, accepted := serve(t, func(t *testing.T, conn net.Conn, request *http.Request, number int) bool {
+		if request.Header.Get("X-Id") == "b" {
+			writeForever(conn, "more", &written)
+			return false
+		}
+		return respondOK(t, conn, request, number)
+	})
+	pool := newPool(1)
+	requireExchange(t, pool, address, "a")
+	_, err := exchange(t, pool, address, "b")
+	requireIs(t, err, connection.ErrBroken)
+	require.False(t, errors.Is(err, connection.ErrNotSent))
+	require.EqualValues(t, 1, accepted.Load())
+	requireExchange(t, pool, address, "c")
+	require.EqualValues(t, 2, accepted.Load())
+}
+
 func TestNewConnectionRequestReusesNoConnection(t *testing.T) {
 	address, accepted := serve(t, respondOK)
 	pool := newPool(2)
