Reject lines in an engine's stream that belong to no event

A caller could get tokens of another response at the end of its own: if a stream with neither a length nor chunks was followed by a second response on the connection, the head of that one was skipped like an unknown field, and its events from the next offset on were passed on.

A line that is no blank line, comment or field of an event now breaks the stream.

--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -104,10 +104,23 @@
 			return nil, errors.Newf("event has more than one line of data: %w", ErrFailedAfterSend)
 		case ok:
 			s.event = append(s.event, data...)
+		case !isField(line):
+			return nil, errors.Newf("line is not a part of an event: %w", ErrFailedAfterSend)
 		}
 	}
 }
 
+// isField reports whether a line may occur in a stream of events: a blank line, a
+// comment or a field. The head of another response is none.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 func (s *Stream) readError(err error) error {
 	if errors.Is(context.Cause(s.ctx), ErrIdleTimeout) {
 		return ErrIdleTimeout
--- a/pkg/front/ending_test.go
+++ b/pkg/front/ending_test.go
@@ -117,6 +117,10 @@
 		return tokenEvents(from, 3) + finishEvent(3) + tokenEvents(3, 4) + doneEvent
 	}},
 	{"leaves out a token", func(from int) string { return tokenEvents(from, 2) + tokenEvents(3, 5) + finishEvent(5) + doneEvent }},
+	{"is followed by another response", func(from int) string {
+		other := strings.NewReplacer("one", "uno", "two", "dos", "three", "tres", "four", "cuatro", "five", "cinco")
+		return tokenEvents(from, 3) + streamHead + "\r\n" + other.Replace(wholeStream(0))
+	}},
 	{"has an event without an offset", func(from int) string {
 		return "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n" + wholeStream(from)
 	}},
