Reset the connections of a test relay where it should

FaultReset closed connections in an orderly way, and a reset of an endpoint became an orderly close at the relay. To a body with neither a length nor chunks such a close is its end, so that the soak would have taken a cut answer for one that its service had completed.

The relay resets connections now, and passes a reset on.

--- a/internal/site/relay.go
+++ b/internal/site/relay.go
@@ -75,14 +75,22 @@
 	r.closeAll()
 }
 
-// closeAll closes the open connections. mu must be held.
+// closeAll resets the open connections. mu must be held.
 func (r *Relay) closeAll() {
 	for c := range r.connections {
-		_ = c.Close()
+		reset(c)
 	}
 	clear(r.connections)
 }
 
+// reset closes a connection with a reset, so that it ends no body without a length.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (r *Relay) accept() {
 	for {
 		client, err := r.listener.Accept()
@@ -99,7 +107,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed || r.fault == FaultReset {
-		_ = c.Close()
+		reset(c)
 		return false
 	}
 	r.connections[c] = true
@@ -129,9 +137,9 @@
 	<-done
 }
 
-// copyStream forwards one direction of a connection until it is closed. forward then closes
-// both directions, as when the client of an endpoint disconnects.
-func (r *Relay) copyStream(to io.Writer, from net.Conn, isResponse bool, done chan<- struct{}) {
+// copyStream forwards one direction of a connection until it is closed, and a reset as a
+// reset. forward then closes both directions, as when the client of an endpoint disconnects.
+func (r *Relay) copyStream(to, from net.Conn, isResponse bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
 	for {
@@ -145,6 +153,9 @@
 			}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				reset(to)
+			}
 			return
 		}
 	}
