Draw wrong ends of responses in the soak

The soak and its stand-ins could only break streams off between tokens, with a reset. Engines can now end their streams and prefills in twelve ways (no event, blank lines or a comment alone, inside an event, an error event, another status, the next response behind the body, no last chunk, a length that is too long or too short, neither length nor chunks with a close or a reset), and services end their answers in the three of these that show a cut answer.

Callers make lookups as well, and it checks that no answer is cut or of another call, and that no chat response is framed as complete without its last event.

--- a/internal/site/helper_test.go
+++ b/internal/site/helper_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -174,6 +175,8 @@
 	token string
 	rank  string
 	key   string
+	// method is the method, or "" for POST.
+	method string
 	// onToken is called after each token of a stream with the number of tokens so far.
 	onToken func(count int)
 }
@@ -197,11 +200,11 @@
 	return request
 }
 
-// post sends one request on a new connection.
+// post sends one request, by default a POST, on a new connection.
 func post(ctx context.Context, t *testing.T, url, body string, options callOptions) callResult {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(newRequest(ctx, t, http.MethodPost, url, body, options))
+	response, err := client.Do(newRequest(ctx, t, cmp.Or(options.method, http.MethodPost), url, body, options))
 	if err != nil {
 		return callResult{err: err}
 	}
--- a/internal/site/soak_test.go
+++ b/internal/site/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 
 	"github.com/turmerictide/turmerictide/internal/site"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
+	"github.com/turmerictide/turmerictide/standin/ending"
 	"github.com/turmerictide/turmerictide/standin/engine"
 	"github.com/turmerictide/turmerictide/standin/plain"
 	"github.com/turmerictide/turmerictide/standin/storesite"
@@ -85,6 +87,9 @@
 		control(s.t, http.MethodPut, p, "switches", plain.Switches{DropResponses: 1}, nil)
 		return func() { control(s.t, http.MethodPut, p, "switches", plain.Switches{}, nil) }
 	}},
+	{"ends responses with", engines, setEnding(ending.StreamKinds, func(kind ending.Kind) any { return engine.Switches{Ending: kind} })},
+	{"ends responses with", engines, setEnding(ending.StreamKinds, func(kind ending.Kind) any { return engine.Switches{Ending: kind} })},
+	{"ends responses with", plainServices, setEnding(ending.AnswerKinds, func(kind ending.Kind) any { return plain.Switches{Ending: kind} })},
 }
 
 func daemons(s *soakRun) []*site.Process { return s.Daemons }
@@ -129,6 +134,16 @@
 	}
 }
 
+// setEnding ends the responses of an endpoint in one of some ways.
+func setEnding(kinds []ending.Kind, switches func(ending.Kind) any) func(*soakRun, *site.Process) func() {
+	return func(s *soakRun, p *site.Process) func() {
+		kind := kinds[s.random.IntN(len(kinds))]
+		s.faultLog = append(s.faultLog, string(kind))
+		control(s.t, http.MethodPut, p, "switches", switches(kind), nil)
+		return func() { control(s.t, http.MethodPut, p, "switches", switches(ending.None), nil) }
+	}
+}
+
 // injectFaults starts faults at random times, so that they may overlap, and waits until all
 // of them are removed.
 func (s *soakRun) injectFaults() {
@@ -169,11 +184,15 @@
 		}
 		d := s.Daemons[random.IntN(len(s.Daemons))]
 		ctx, cancel := context.WithTimeout(s.t.Context(), soakCallTimeout)
-		if random.IntN(3) == 0 {
+		switch random.IntN(6) {
+		case 0:
+			path := fmt.Sprintf("/%d/%d", caller, i)
+			s.checkLookup(path, post(ctx, s.t, reservationsURL(d)+path, "", callOptions{method: http.MethodGet}), ctx.Err())
+		case 1, 2:
 			key := fmt.Sprintf("soak-%d-%d", caller, i/2)
 			got := post(ctx, s.t, reservationsURL(d), `{"cones":1}`, callOptions{key: key})
 			s.recordResult(key, got, ctx.Err())
-		} else {
+		default:
 			prompt := fmt.Sprintf("draft %d of caller %d", i, caller)
 			tokens := 10 + random.IntN(60)
 			got := post(ctx, s.t, chatURL(d), chatBody(prompt, tokens, random.IntN(2) == 0), callOptions{})
@@ -190,11 +209,24 @@
 	if timeoutErr != nil {
 		s.t.Errorf("the call with the key %s has no final response after %s", key, soakCallTimeout)
 	}
+	if got.status == http.StatusCreated && (got.err != nil || !json.Valid([]byte(got.body))) {
+		s.t.Errorf("the call with the key %s received %q, %v", key, got.body, got.err)
+	}
 	s.resultsByKey[key] = append(s.resultsByKey[key], got)
 }
 
+// checkLookup checks that an answer is whole and that of the call.
+func (s *soakRun) checkLookup(path string, got callResult, timeoutErr error) {
+	if timeoutErr != nil {
+		s.t.Errorf("the lookup %s has no final response after %s", path, soakCallTimeout)
+	}
+	if want := fmt.Sprintf("{\"stock\":42,\"path\":%q}\n", "/reservations"+path); got.status == http.StatusOK && (got.err != nil || got.body != want) {
+		s.t.Errorf("the lookup %s received %q, %v", path, got.body, got.err)
+	}
+}
+
 // checkChat checks that the received tokens are a prefix of the output, each token once and
-// in order, and all of the output if the response is complete.
+// in order, and all of the output if the response is complete, by its mark or by its framing.
 func (s *soakRun) checkChat(prompt string, tokens int, got callResult, timeoutErr error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,6 +235,9 @@
 		return
 	}
 	expected := engine.Words(prompt, tokens)
+	if got.status == http.StatusOK && !got.complete && got.err == nil {
+		s.t.Errorf("%q received %d of %d tokens in a response that is framed as complete", prompt, len(got.words), tokens)
+	}
 	if got.complete && !slices.Equal(expected, got.words) || !got.complete && (len(got.words) > len(expected) || !slices.Equal(expected[:len(got.words)], got.words)) {
 		s.t.Errorf("%q received %q instead of %q", prompt, got.words, expected)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/turmerictide/turmerictide/standin/ending"
 )
 
 // Config sets the size and the behaviour of an engine.
@@ -56,6 +58,9 @@
 	DropCancels int `json:"drop_cancels"`
 	// CrashOn crashes the process when a prompt contains this text.
 	CrashOn string `json:"crash_on"`
+	// Ending is the way in which each new stream ends after at most two tokens, and each
+	// response to a prefill after half of it.
+	Ending ending.Kind `json:"ending"`
 }
 
 // Counts are totals since the start of the engine, and its current load.
--- a/standin/engine/engine_decode.go
+++ b/standin/engine/engine_decode.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/turmerictide/turmerictide/standin/ending"
 )
 
 const (
@@ -187,14 +190,30 @@
 	e.stream(w, r, target, from)
 }
 
+// endingTokens is the number of tokens that a stream sends before it ends wrongly.
+const endingTokens = 2
+
 // stream sends the tokens from an offset as they are produced.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, target *runningRequest, from int) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	flusher := w.(http.Flusher)
-	flusher.Flush()
 	e.mu.Lock()
 	switches := e.switches
 	e.mu.Unlock()
+	if switches.Ending != ending.None {
+		var sent, rest strings.Builder
+		for offset := from; offset < len(target.words); offset++ {
+			to := &rest
+			if offset < from+endingTokens {
+				to = &sent
+			}
+			writeToken(to, offset, target.words[offset])
+		}
+		writeEnd(&rest, len(target.words))
+		ending.Write(w, switches.Ending, "text/event-stream", sent.String(), rest.String())
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := w.(http.Flusher)
+	flusher.Flush()
 	for offset := from; ; {
 		e.mu.Lock()
 		produced, changed, finished := target.produced, target.changed, target.finished
@@ -246,17 +265,17 @@
 	Choices     []choice `json:"choices"`
 }
 
-func writeToken(w http.ResponseWriter, offset int, word string) {
+func writeToken(w io.Writer, offset int, word string) {
 	writeEvent(w, event{Object: "chat.completion.chunk", TokenOffset: offset, Choices: []choice{{Delta: delta{Content: word}}}})
 }
 
-func writeEnd(w http.ResponseWriter, offset int) {
+func writeEnd(w io.Writer, offset int) {
 	reason := "stop"
 	writeEvent(w, event{Object: "chat.completion.chunk", TokenOffset: offset, Choices: []choice{{FinishReason: &reason}}})
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func writeEvent(w http.ResponseWriter, ev event) {
+func writeEvent(w io.Writer, ev event) {
 	encodedEvent, _ := json.Marshal(ev)
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", encodedEvent)
 }
--- a/standin/engine/engine_prefill.go
+++ b/standin/engine/engine_prefill.go
@@ -3,12 +3,15 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/turmerictide/turmerictide/standin/ending"
 )
 
 // queuedPrompt is one waiting or running prefill.
@@ -62,7 +65,16 @@
 	if !e.runPrompt(r.Context(), p, r.Header.Get("X-Request-Id"), request) {
 		return
 	}
-	writeJSON(w, e.exportCache(r, request))
+	response := e.exportCache(r, request)
+	e.mu.Lock()
+	kind := e.switches.Ending
+	e.mu.Unlock()
+	if kind != ending.None {
+		encoded, _ := json.Marshal(response)
+		ending.Write(w, kind, "application/json", string(encoded[:len(encoded)/2]), string(encoded[len(encoded)/2:]))
+		return
+	}
+	writeJSON(w, response)
 }
 
 // startMostUrgent signals the most urgent prompt to run. e.mu must be held.
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/turmerictide/turmerictide/standin/ending"
 )
 
 // Switches are the faults that can be turned on.
@@ -27,6 +29,8 @@
 	CloseBefore int `json:"close_before"`
 	// CrashOn crashes the process when the path of a call contains this text.
 	CrashOn string `json:"crash_on"`
+	// Ending is the way in which each response ends after half of its body.
+	Ending ending.Kind `json:"ending"`
 }
 
 // Service is a stand-in for a plain service. It is safe for concurrent use.
@@ -116,9 +120,21 @@
 	if dropResponse {
 		panic(http.ErrAbortHandler)
 	}
+	s.respond(w, http.StatusCreated, fmt.Sprintf("{\"reservation\":%d,\"path\":%q}\n", number, r.URL.Path))
+}
+
+// respond sends a response, or ends it wrongly if the switches say so.
+func (s *Service) respond(w http.ResponseWriter, status int, body string) {
+	s.mu.Lock()
+	kind := s.switches.Ending
+	s.mu.Unlock()
+	if kind != ending.None {
+		ending.Write(w, kind, "application/json", body[:len(body)/2], body[len(body)/2:])
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusCreated)
-	_, _ = fmt.Fprintf(w, "{\"reservation\":%d,\"path\":%q}\n", number, r.URL.Path)
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
 }
 
 func (s *Service) serveLookup(w http.ResponseWriter, r *http.Request) {
@@ -130,6 +146,5 @@
 	delay := s.switches.Delay
 	s.mu.Unlock()
 	time.Sleep(delay)
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\"stock\":42,\"path\":%q}\n", r.URL.Path)
+	s.respond(w, http.StatusOK, fmt.Sprintf("{\"stock\":42,\"path\":%q}\n", r.URL.Path))
 }
