--- a/internal/site/soak_test.go
+++ b/internal/site/soak_test.go
@@ -46,6 +46,7 @@
 type soakRun struct {
 	*site.Site
 	t            *testing.T
+	startedAt    time.Time
 	random       *rand.Rand
 	activeFaults sync.WaitGroup
 
@@ -87,9 +88,12 @@
 		control(s.t, http.MethodPut, p, "switches", plain.Switches{DropResponses: 1}, nil)
 		return func() { control(s.t, http.MethodPut, p, "switches", plain.Switches{}, nil) }
 	}},
-	{"ends responses with", engines, setEnding(ending.StreamKinds, func(kind ending.Kind) any { return engine.Switches{Ending: kind} })},
-	{"ends responses with", engines, setEnding(ending.StreamKinds, func(kind ending.Kind) any { return engine.Switches{Ending: kind} })},
-	{"ends responses with", plainServices, setEnding(ending.AnswerKinds, func(kind ending.Kind) any { return plain.Switches{Ending: kind} })},
+	{"ends answers wrongly", plainServices, func(s *soakRun, p *site.Process) func() {
+		kind := ending.AnswerKinds[s.random.IntN(len(ending.AnswerKinds))]
+		s.logFault("with " + string(kind))
+		control(s.t, http.MethodPut, p, "switches", plain.Switches{Ending: kind}, nil)
+		return func() { control(s.t, http.MethodPut, p, "switches", plain.Switches{}, nil) }
+	}},
 }
 
 func daemons(s *soakRun) []*site.Process { return s.Daemons }
@@ -134,20 +138,42 @@
 	}
 }
 
-// setEnding ends the responses of an endpoint in one of some ways.
-func setEnding(kinds []ending.Kind, switches func(ending.Kind) any) func(*soakRun, *site.Process) func() {
-	return func(s *soakRun, p *site.Process) func() {
-		kind := kinds[s.random.IntN(len(kinds))]
-		s.faultLog = append(s.faultLog, string(kind))
-		control(s.t, http.MethodPut, p, "switches", switches(kind), nil)
-		return func() { control(s.t, http.MethodPut, p, "switches", switches(ending.None), nil) }
+// soakMaxEndingInterval limits the time between two changes of how engines end responses.
+const soakMaxEndingInterval = 600 * time.Millisecond
+
+// endResponses makes engines end their streams and prefills in drawn ways, half of them
+// rightly, until done is closed. Engines that are stopped or killed may miss a change.
+func (s *soakRun) endResponses(random *rand.Rand, done <-chan struct{}) {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		candidates := engines(s)
+		p, kind := candidates[random.IntN(len(candidates))], ending.None
+		if random.IntN(2) == 0 {
+			kind = ending.StreamKinds[random.IntN(len(ending.StreamKinds))]
+		}
+		s.logFault(fmt.Sprintf("%s ends responses with %q", p.Name, kind))
+		body := fmt.Sprintf(`{"ending":%q}`, kind)
+		request := newRequest(s.t.Context(), s.t, http.MethodPut, "http://"+p.Address.String()+"/control/switches", body, callOptions{})
+		if response, err := client.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(random.Float64() * float64(soakMaxEndingInterval))):
+		}
 	}
 }
 
+func (s *soakRun) logFault(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultLog = append(s.faultLog, fmt.Sprintf("%s %s", time.Since(s.startedAt).Round(time.Millisecond), text))
+}
+
 // injectFaults starts faults at random times, so that they may overlap, and waits until all
 // of them are removed.
 func (s *soakRun) injectFaults() {
-	start := time.Now()
 	for range soakFaultCount {
 		time.Sleep(time.Duration(s.random.Float64() * float64(2*soakFaultWindow/soakFaultCount)))
 		f := faults[s.random.IntN(len(faults))]
@@ -161,7 +187,7 @@
 		if isFaulty {
 			continue
 		}
-		s.faultLog = append(s.faultLog, fmt.Sprintf("%s %s %s for %s", time.Since(start).Round(time.Millisecond), p.Name, f.name, duration.Round(time.Millisecond)))
+		s.logFault(fmt.Sprintf("%s %s for %s", p.Name, f.name, duration.Round(time.Millisecond)))
 		stop := f.start(s, p)
 		s.activeFaults.Go(func() {
 			time.Sleep(duration)
@@ -270,7 +296,7 @@
 			t.Parallel()
 			s := &soakRun{
 				Site: startSite(t, site.Config{Relays: true, DaemonsPerZone: 2, DecodePerZone: 2}),
-				t:    t, random: rand.New(rand.NewPCG(seed, 0)), resultsByKey: map[string][]callResult{}, faulty: map[*site.Process]bool{},
+				t:    t, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), resultsByKey: map[string][]callResult{}, faulty: map[*site.Process]bool{},
 			}
 			t.Cleanup(func() {
 				if t.Failed() {
@@ -282,9 +308,13 @@
 			for i := range soakCallers {
 				callers.Go(func() { s.sendCalls(i, rand.New(rand.NewPCG(seed, uint64(i+1))), done) })
 			}
+			callers.Go(func() { s.endResponses(rand.New(rand.NewPCG(seed, soakCallers+1)), done) })
 			s.injectFaults()
 			close(done)
 			callers.Wait()
+			for _, p := range engines(s) {
+				control(t, http.MethodPut, p, "switches", engine.Switches{}, nil)
+			}
 			s.requireRecovery()
 		})
 	}
