--- a/pkg/front/harness_test.go
+++ b/pkg/front/harness_test.go
@@ -37,6 +37,8 @@
 	raw string
 	// reset closes the connection with a reset.
 	reset bool
+	// hold keeps the connection open until it is closed.
+	hold <-chan struct{}
 }
 
 // call is a request that a standin received.
@@ -89,6 +91,9 @@
 	}
 	r := s.respond(s.classify(request, body))
 	_, _ = io.WriteString(conn, r.raw)
+	if r.hold != nil {
+		<-r.hold
+	}
 	if r.reset {
 		_ = conn.SetLinger(0)
 	}
@@ -221,6 +226,12 @@
 
 // startFront starts a front that serves HTTP, without other daemons. It returns its address.
 func startFront(t *testing.T, address netip.AddrPort) string {
+	t.Helper()
+	return startServer(t, address).Listener.Addr().String()
+}
+
+// startServer is startFront, and returns the server.
+func startServer(t *testing.T, address netip.AddrPort) *httptest.Server {
 	t.Helper()
 	state := newState(t, address)
 	noHosts := func(string) []string { return nil }
@@ -249,7 +260,7 @@
 		cancel()
 		<-committer.Done()
 	})
-	return server.Listener.Addr().String()
+	return server
 }
 
 // received is a response as its caller received it.
