--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 # Runs exactly the tests of docs/PROMISES.md.
 prove: build
-	set -o pipefail; go test -race -count=1 -run '^TestPromise' -v ./internal/site ./pkg/claim ./pkg/endpoint 2>&1 | grep -E '^(--- |ok|FAIL|panic)|not in time|Messages:'
+	set -o pipefail; go test -race -count=1 -run '^TestPromise' -v ./internal/site ./pkg/claim ./pkg/endpoint ./pkg/front 2>&1 | grep -E '^(--- |ok|FAIL|panic)|not in time|Messages:'
 
 scale: build
 	go run ./internal/scale $(BIN) $(SERIES)
