Prove two guards of an engine's stream by rows of their own

With "an event between the finish reason and [DONE]" allowed, and with two lines of data joined to one event, no row of the table was red. "has two finish reasons" and "has its last event in two lines" are: 81 of 90 cases each with their guard taken out alone, none with both guards.

--- a/pkg/front/ending_test.go
+++ b/pkg/front/ending_test.go
@@ -116,6 +116,12 @@
 	{"goes on after the finish reason", func(from int) string {
 		return tokenEvents(from, 3) + finishEvent(3) + tokenEvents(3, 4) + doneEvent
 	}},
+	{"has two finish reasons", func(from int) string {
+		return tokenEvents(from, 3) + finishEvent(3) + wholeStream(3)
+	}},
+	{"has its last event in two lines", func(from int) string {
+		return strings.Replace(wholeStream(from), "[DONE]", "[DO\ndata: NE]", 1)
+	}},
 	{"leaves out a token", func(from int) string { return tokenEvents(from, 2) + tokenEvents(3, 5) + finishEvent(5) + doneEvent }},
 	{"is followed by another response", func(from int) string {
 		other := strings.NewReplacer("one", "uno", "two", "dos", "three", "tres", "four", "cuatro", "five", "cinco")
