Build the state of thousands of routes in milliseconds

What callers could see after a manifest with thousands of routes of different priorities: a daemon that stops following. A state took 0.4 s for 500 routes, 7 s for 2,000 and 78 s for 8,000, with the locks of the directory and the mirror held, and again with each change of an endpoint.

Cause: the targets of each priority were searched in all routes, which were collected and sorted anew each time, as also for each request that asks for the most urgent priority of a limited service.

The routes are sorted once, in the table, and the targets of all priorities are found in one pass.

TestThousandsOfRoutesDoNotDelayAState was red before (29.7 s for 4,000 routes, 1 s is the bound) and is green now.

--- a/pkg/directory/odd_test.go
+++ b/pkg/directory/odd_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/route"
 	"github.com/turmerictide/turmerictide/pkg/store"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
 // putOdd writes many entries that cannot be decoded, and updates the directory.
@@ -91,3 +93,28 @@
 	require.Less(t, heap(), before+4<<20, "the keys alone are 11 MB")
 	runtime.KeepAlive(f)
 }
+
+// TestThousandsOfRoutesDoNotDelayAState covers a configuration in which each route has a
+// priority of its own. The directory and the mirror are locked while a state is built, with
+// each change of an endpoint.
+func TestThousandsOfRoutesDoNotDelayAState(t *testing.T) {
+	const limit = time.Second
+	routes := make([]route.Route, 4000)
+	for i := range routes {
+		routes[i] = route.Route{
+			Name: fmt.Sprint("r", i), Host: fmt.Sprint("h", i%7), Prefix: fmt.Sprintf("/p%d/", i), Kind: route.KindStream, Priority: i,
+			Target: time.Duration(4000-i) * time.Millisecond, GapTarget: 100 * time.Millisecond, Shares: []route.Share{{Service: "service", Weight: 1}},
+		}
+	}
+	state := &directory.State{Config: directory.Config{
+		Number: 1, Routes: route.NewTable(routes),
+		Services: map[string]directory.Service{"service": {Name: "service", Engine: &directory.Engine{Places: 4, TokensPerEvent: 2}}},
+	}}
+	start := time.Now()
+	ranks := directory.TicketState(state).Services["service"].Ranks
+	require.Less(t, time.Since(start), limit)
+	require.Len(t, ranks, 4000)
+	require.Equal(t, ticket.Duration(4*time.Second), ranks[0].FirstTokenTarget)
+	require.Equal(t, ticket.Duration(time.Millisecond), ranks[3999].FirstTokenTarget)
+	require.Equal(t, ticket.Duration(50*time.Millisecond), ranks[7].TokenGapTarget)
+}
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -1,8 +1,8 @@
 package directory
 
 import (
+	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/turmerictide/turmerictide/pkg/route"
@@ -33,15 +33,32 @@
 // Priorities returns the priorities of the streaming routes to a service, the most urgent
 // first. The index of a priority is its rank.
 func Priorities(state *State, service string) []int {
-	var result []int
+	return slices.Sorted(maps.Keys(targetsByPriority(state, service)))
+}
+
+// targets are the shortest targets among the routes of one priority.
+type targets struct {
+	firstToken time.Duration
+	gap        time.Duration
+}
+
+// targetsByPriority returns the targets of the streaming routes to a service by priority.
+func targetsByPriority(state *State, service string) map[int]targets {
+	result := map[int]targets{}
 	for _, r := range state.Config.Routes.All() {
-		for _, share := range r.Shares {
-			if share.Service == service && r.Kind == route.KindStream && !slices.Contains(result, r.Priority) {
-				result = append(result, r.Priority)
-			}
+		serves := slices.ContainsFunc(r.Shares, func(s route.Share) bool { return s.Service == service })
+		if r.Kind != route.KindStream || !serves {
+			continue
+		}
+		known, ok := result[r.Priority]
+		if !ok || known.firstToken == 0 || r.Target < known.firstToken {
+			known.firstToken = r.Target
 		}
+		if !ok || known.gap == 0 || r.GapTarget < known.gap {
+			known.gap = r.GapTarget
+		}
+		result[r.Priority] = known
 	}
-	sort.Ints(result)
 	return result
 }
 
@@ -78,8 +95,9 @@
 		KVBytesPerToken: service.Engine.BytesPerToken, PieceTokens: pieceTokens,
 		AllZones: true, MemoryGrows: true, LongestPause: ticket.Duration(longestPause), DecodeReadsPrompts: true, ReturnTargets: returnTargets, FirstStep: ticket.Duration(firstStep), TokenTime: ticket.Duration(tokenTime),
 	}
-	for i, priority := range Priorities(state, service.Name) {
-		target, gap := targetsOf(state, service.Name, priority)
+	byPriority := targetsByPriority(state, service.Name)
+	for i, priority := range slices.Sorted(maps.Keys(byPriority)) {
+		target, gap := byPriority[priority].firstToken, byPriority[priority].gap
 		gap /= time.Duration(max(service.Engine.TokensPerEvent, 1))
 		rank := ticket.Rank{FirstTokenTarget: ticket.Duration(target), TokenGapTarget: ticket.Duration(gap)}
 		if i > 0 {
@@ -94,23 +112,6 @@
 	return result
 }
 
-// targetsOf returns the shortest targets among the routes of one priority.
-func targetsOf(state *State, service string, priority int) (target, gap time.Duration) {
-	for _, r := range state.Config.Routes.All() {
-		serves := slices.ContainsFunc(r.Shares, func(s route.Share) bool { return s.Service == service })
-		if r.Kind != route.KindStream || r.Priority != priority || !serves {
-			continue
-		}
-		if target == 0 || r.Target < target {
-			target = r.Target
-		}
-		if gap == 0 || r.GapTarget < gap {
-			gap = r.GapTarget
-		}
-	}
-	return target, gap
-}
-
 func ticketEndpoint(e Endpoint, engine Engine, service ticket.Service) ticket.Endpoint {
 	places := e.Places
 	if places <= 0 {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -82,12 +83,15 @@
 // Table contains the routes of all hosts.
 type Table struct {
 	routesByHost map[string][]Route
+	// all is sorted by name.
+	all []Route
 }
 
 // NewTable returns a Table of routes. If two routes have the same host and prefix, the
 // first is used.
 func NewTable(routes []Route) *Table {
-	t := &Table{routesByHost: map[string][]Route{}}
+	t := &Table{routesByHost: map[string][]Route{}, all: slices.Clone(routes)}
+	sort.SliceStable(t.all, func(i, j int) bool { return t.all[i].Name < t.all[j].Name })
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
@@ -111,12 +115,7 @@
 	return Route{}, false
 }
 
-// All returns all routes, sorted by name.
+// All returns all routes, sorted by name. The slice must not be modified.
 func (t *Table) All() []Route {
-	var result []Route
-	for _, hostRoutes := range t.routesByHost {
-		result = append(result, hostRoutes...)
-	}
-	sort.Slice(result, func(i, j int) bool { return result[i].Name < result[j].Name })
-	return result
+	return t.all
 }
