Close no engine for an odd or unending move

What callers saw: 503 for requests of model routes while all engines are idle. An entry among the moves of engines excludes the engine that it names from new work at all owners. Any role other than the engine's own was believed, also an empty one, for any engine, whatever the key, and as long as the entry exists: an entry without a lease, or one kept during an outage of the store, closed its engine for good. Each odd entry was also decoded and logged again with each change of the store.

A move must now name the engine of its key, a role and a host. It applies for 30 s from its first reading: the lease of its entry has 6 s, and a change of role is given 14 s. Entries are decoded once.

TestOddMoveOfAnEngineDoesNotCloseIt and TestMoveWithoutALeaseDoesNotCloseAnEngineForGood test the new decoder.

--- a/pkg/daemon/orders.go
+++ b/pkg/daemon/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,15 +55,6 @@
 	return nil
 }
 
-// wireMove is the value of a lease. Other daemons read from it which engine changes its
-// role.
-type wireMove struct {
-	_        struct{} `cbor:",toarray"`
-	Host     string
-	Endpoint string
-	Role     string
-}
-
 // moveEngine executes a move that the owner of a shard has decided. The engine gets no
 // new work until its role has changed, the order has failed or the change has timed out.
 func (d *PlatformDaemon) moveEngine(service string, move dispatch.Move) {
@@ -100,17 +90,9 @@
 		return
 	}
 	moving := map[string]bool{}
-	for key, entry := range content.Entries {
-		if !strings.HasPrefix(key, orderKeyPrefix) {
-			continue
-		}
-		var wire wireMove
-		if err := link.Decode(entry.Value, &wire); err != nil {
-			d.log.Info("cannot decode the move of an engine in the store", "key", key, "error", err.Error())
-			continue
-		}
-		if e, ok := state.Endpoints[wire.Endpoint]; ok && e.Role != ticket.Role(wire.Role) && wire.Host != d.self.Host {
-			moving[wire.Endpoint] = true
+	for _, move := range d.moves.read(d.now(), content) {
+		if e, ok := state.Endpoints[move.Endpoint]; ok && e.Role != ticket.Role(move.Role) && move.Host != d.self.Host {
+			moving[move.Endpoint] = true
 		}
 	}
 	d.dispatcher.SetMovingEngines(moving)
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -54,6 +54,7 @@
 	crashRecords   *poison.Keeper
 	relay          *relay.Relay
 	orders         *orders
+	moves          moveEntries
 	callers        *callerConnections
 
 	caller   *listener
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Newf("build peers: %w", err)
 	}
-	d.peers = shared
+	d.peers, d.moves.log = shared, log
 	address, err := storeAddress(s.Platform.StoreURLs[0])
 	if err != nil {
 		return nil, errors.Newf("read store address: %w", err)
