--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -60,6 +60,8 @@
 	now    func() time.Time
 	log    logr.Logger
 	done   chan struct{}
+	// closeOnce guards the close of done: a supervisor restarts Serve after a panic.
+	closeOnce sync.Once
 	// onChange is called with the current content after each change, in order and with
 	// mu held.
 	onChange func(Content)
@@ -110,14 +112,14 @@
 	}
 }
 
-// Done is closed when Serve has returned.
+// Done is closed when Serve has returned for the first time.
 func (m *Mirror) Done() <-chan struct{} {
 	return m.done
 }
 
 // Serve lists the entries and polls for changes until ctx is done.
 func (m *Mirror) Serve(ctx context.Context) error {
-	defer close(m.done)
+	defer m.closeOnce.Do(func() { close(m.done) })
 	m.mu.Lock()
 	m.startedAt = m.now()
 	m.mu.Unlock()
--- a/pkg/store/mirror_odd_test.go
+++ b/pkg/store/mirror_odd_test.go
@@ -135,3 +135,37 @@
 	require.Equal(t, 1101, read(m))
 	require.Equal(t, values(peer), values(m))
 }
+
+// TestMirrorFollowsAfterAPanic covers a supervisor that restarts a mirror whose onChange panicked
+// on one content.
+func TestMirrorFollowsAfterAPanic(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		s := &scriptedStore{listing: store.Listing{Entries: []store.Entry{entry("a", "1", 5)}, Revision: 5}, polls: make(chan pollResult)}
+		var seen []string
+		m := store.NewMirror(s.store(), "", func(c store.Content) {
+			value := string(c.Entries["a"].Value)
+			if value == "odd" {
+				panic(value)
+			}
+			seen = append(seen, value)
+		}, time.Now, logr.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		serve := func() (cause any) {
+			defer func() { cause = recover() }()
+			_ = m.Serve(ctx)
+			return nil
+		}
+		causes := make(chan any, 2)
+		go func() {
+			causes <- serve()
+			causes <- serve()
+		}()
+		s.polls <- pollResult{changes: store.Changes{Revision: 6, Events: []store.Event{{Entry: entry("a", "odd", 6)}}}}
+		require.Equal(t, "odd", <-causes)
+		s.polls <- pollResult{changes: store.Changes{Revision: 7, Events: []store.Event{{Entry: entry("a", "2", 7)}}}}
+		synctest.Wait()
+		require.Equal(t, []string{"1", "2"}, seen)
+		cancel()
+		require.Nil(t, <-causes, "a mirror that was restarted can be stopped")
+	})
+}
