Recover from a panic while the entries of a peer are read

What callers could see: a process that ends by itself, with all its streams, if an entry makes one of the readers panic. The mirror's own reading of the store is run by a supervisor, which recovers; the reading of a peer was in a goroutine of its own. On a site where two daemons of a zone read the store, all others would have ended together.

No entry that panics is known: the fuzz target over the readers found none. The guard is the same that handlers of messages have.

--- a/pkg/daemon/export_test.go
+++ b/pkg/daemon/export_test.go
@@ -17,3 +17,6 @@
 	}
 	return names
 }
+
+// RunRecovered exports runRecovered to tests.
+var RunRecovered = runRecovered
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -285,10 +286,21 @@
 	}
 	go func() {
 		defer func() { <-d.peerReadSlot }()
-		d.readPeer(host)
+		runRecovered(d.log.WithValues("peer", host), func() { d.readPeer(host) })
 	}()
 }
 
+// runRecovered calls f and recovers from a panic, which would otherwise end the process. It is for
+// goroutines that handle data of others and are not run by a supervisor.
+func runRecovered(log logr.Logger, f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			log.Error(errors.Newf("%v", cause), "entries of a peer were not handled", "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+}
+
 func (d *PlatformDaemon) readPeer(host string) {
 	address, ok := d.members.Resolve(host)
 	if !ok {
