Do not keep crash records in the store for their own writes

While crashes of other requests kept coming, half of the crash records stayed in the store as long as their daemon ran, and all daemons kept these crashes for ever.

Cause: an entry has a lease that entries before it share, so it expires up to five minutes before its crash. It is then written again, which counted as a new time of the record. All daemons read it as new and kept the crash for another 10 minutes, and it was written again at the next expiry.

A record now has the time of its event, a crash or a rejection, and is written again only within CondemnationTTL of that. Rejections are events, so the record of a request that still comes stays.

--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -31,7 +31,7 @@
 	// writeTimeout limits one write.
 	writeTimeout = 2 * time.Second
 	// rewriteThreshold is the age of a write after which a missing entry is written again: its
-	// lease expired during an outage.
+	// lease expired too early.
 	rewriteThreshold = 5 * time.Second
 	// maxPutsPerCommit limits the entries of one call to the store.
 	maxPutsPerCommit = 32
@@ -82,10 +82,11 @@
 	lease          store.LeaseID
 	leaseGrantedAt time.Time
 
-	mu     sync.Mutex
-	queued map[recordKey]bool
-	// writtenAt are the times of this daemon's last writes of records that have not expired.
-	writtenAt map[recordKey]time.Time
+	mu sync.Mutex
+	// queued are the records that wait for a write, with the times of their last events.
+	queued map[recordKey]time.Time
+	// written are the records that this daemon has written and that have not expired.
+	written map[recordKey]writtenRecord
 	// readRevisions are the revisions of the entries that were read, by key.
 	readRevisions map[string]store.Revision
 	// partReadAt are the times when the latest records of parts were read, by the prefix of
@@ -93,11 +94,19 @@
 	partReadAt map[string]time.Time
 }
 
+// writtenRecord contains the times of the last write of a record and of the event that it was
+// written for, a crash or a rejection. The record is kept for some time after the event, however
+// often it is written.
+type writtenRecord struct {
+	eventAt   time.Time
+	writtenAt time.Time
+}
+
 // NewKeeper returns a Keeper. Serve must run for it to write.
 func NewKeeper(config KeeperConfig) *Keeper {
 	return &Keeper{
 		config: config, done: make(chan struct{}), wake: make(chan struct{}, 1),
-		queued: map[recordKey]bool{}, writtenAt: map[recordKey]time.Time{}, readRevisions: map[string]store.Revision{},
+		queued: map[recordKey]time.Time{}, written: map[recordKey]writtenRecord{}, readRevisions: map[string]store.Revision{},
 		partReadAt: map[string]time.Time{},
 	}
 }
@@ -129,14 +138,22 @@
 }
 
 func (k *Keeper) enqueue(key recordKey) {
+	now := k.config.Now()
 	k.mu.Lock()
 	if len(k.queued) < maxQueuedRecords {
-		k.queued[key] = true
+		k.queue(key, now)
 	}
 	k.mu.Unlock()
 	k.signal()
 }
 
+// queue queues a record that was last changed by an event at eventAt. k.mu must be held.
+func (k *Keeper) queue(key recordKey, eventAt time.Time) {
+	if eventAt.After(k.queued[key]) {
+		k.queued[key] = eventAt
+	}
+}
+
 func (k *Keeper) signal() {
 	select {
 	case k.wake <- struct{}{}:
@@ -145,7 +162,7 @@
 }
 
 // Update processes the content of the store. It reads the records of all daemons, and requeues
-// those of this daemon whose entries expired too early.
+// those of this daemon whose entries expired less than CondemnationTTL after the last event.
 func (k *Keeper) Update(content store.Content) {
 	now := k.config.Now()
 	for key, entry := range content.Entries {
@@ -168,12 +185,12 @@
 			delete(k.partReadAt, prefix)
 		}
 	}
-	for key, at := range k.writtenAt {
+	for key, w := range k.written {
 		switch _, ok := content.Entries[k.storeKey(key)]; {
-		case now.Sub(at) > CondemnationTTL:
-			delete(k.writtenAt, key)
-		case !ok && now.Sub(at) > rewriteThreshold && content.Revision > 0:
-			k.queued[key] = true
+		case now.Sub(w.eventAt) > CondemnationTTL:
+			delete(k.written, key)
+		case !ok && now.Sub(w.writtenAt) > rewriteThreshold && content.Revision > 0:
+			k.queue(key, w.eventAt)
 			k.signal()
 		}
 	}
@@ -274,33 +291,33 @@
 	now := k.config.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, key := range batch {
+	for key, eventAt := range batch {
 		if err != nil {
-			k.queued[key] = true
+			k.queue(key, eventAt)
 		} else {
-			k.writtenAt[key] = now
+			k.written[key] = writtenRecord{eventAt: eventAt, writtenAt: now}
 		}
 	}
 	return err
 }
 
 // dequeueBatch removes the records for one call to the store from the queue.
-func (k *Keeper) dequeueBatch() []recordKey {
-	var batch []recordKey
+func (k *Keeper) dequeueBatch() map[recordKey]time.Time {
+	batch := map[recordKey]time.Time{}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for key := range k.queued {
+	for key, eventAt := range k.queued {
 		if len(batch) == maxPutsPerCommit {
 			break
 		}
-		batch = append(batch, key)
+		batch[key] = eventAt
 		delete(k.queued, key)
 	}
 	return batch
 }
 
 // commit writes the current records with some keys.
-func (k *Keeper) commit(ctx context.Context, batch []recordKey) error {
+func (k *Keeper) commit(ctx context.Context, batch map[recordKey]time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	lease, err := k.currentLease(ctx)
@@ -308,7 +325,7 @@
 		return err
 	}
 	puts := make([]store.Put, 0, len(batch))
-	for _, key := range batch {
+	for key := range batch {
 		value, err := k.encode(key)
 		if err != nil {
 			return err
