Keep the order of crashes older than ten minutes in records

A daemon that started while requests were rejected for more than ten minutes could let such a request, or one with a condemned part, reach endpoints again: it read the record from the store, but suspected the request only.

Cause: ages in records were limited to CondemnationTTL, 10 minutes. A condemnation lasts longer while requests come. All its crashes then had the same time in the decoded record: those of a part were no longer consecutive, and those of one endpoint without a known start counted as one crash.

The limit, which guards against invalid values, is a year now.

TestHostThatStartsAfterLongRejectionsCondemnsThePart and TestHostThatStartsAfterLongRejectionsCondemnsTheRequest were red before ("suspect" where "condemned" is due) and are green now.

--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -204,6 +204,26 @@
 	}
 }
 
+// TestHostThatStartsAfterLongRejectionsCondemnsThePart passes a record whose crashes are older than
+// CondemnationTTL.
+func TestHostThatStartsAfterLongRejectionsCondemnsThePart(t *testing.T) {
+	rejecting, started := condemnPart(t), poison.NewPartRegister()
+	last := 2*time.Second + 3*poison.CondemnationTTL
+	var payload []byte
+	for at := 2 * time.Second; at <= last; at += time.Minute {
+		if record, ok := rejecting.RecordRejection(epoch.Add(at), badPart); ok {
+			encoded, err := poison.EncodePartRecord(epoch.Add(at), record)
+			require.NoError(t, err)
+			payload = encoded
+		}
+	}
+	requirePart(t, rejecting, last, badPart, poison.VerdictCondemned)
+	record, err := poison.DecodePartRecord(epoch.Add(last), payload)
+	require.NoError(t, err)
+	started.Apply(epoch.Add(last), record)
+	requirePart(t, started, last, badPart, poison.VerdictCondemned)
+}
+
 // TestInventedPartsDoNotLiftACondemnation records far more crashes and survivals than are
 // stored.
 func TestInventedPartsDoNotLiftACondemnation(t *testing.T) {
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -172,6 +172,28 @@
 	}
 }
 
+// TestHostThatStartsAfterLongRejectionsCondemnsTheRequest passes a record whose crashes, of one
+// endpoint without a known start, are older than CondemnationTTL.
+func TestHostThatStartsAfterLongRejectionsCondemnsTheRequest(t *testing.T) {
+	register, started := poison.NewRegister(), poison.NewRegister()
+	f := fingerprint("guilty")
+	for i := range 3 {
+		at := epoch.Add(time.Duration(i) * 5 * time.Second)
+		register.AddCrash(at, f, poison.Crash{Endpoint: "decode-1", RunStartedAt: at.Add(-time.Second), CrashedAt: at})
+	}
+	last := epoch.Add(3 * poison.CondemnationTTL)
+	for at := epoch.Add(time.Minute); !at.After(last); at = at.Add(time.Minute) {
+		register.RecordRejection(at, f)
+	}
+	requireVerdict(t, register, last, f, poison.VerdictCondemned)
+	payload, err := poison.EncodeCrashRecord(last, register.CrashRecord(f))
+	require.NoError(t, err)
+	record, err := poison.DecodeCrashRecord(last, payload)
+	require.NoError(t, err)
+	started.Apply(last, record)
+	requireVerdict(t, started, last, f, poison.VerdictCondemned)
+}
+
 // TestDaemonsWithTheSameRecordsAgree applies the records of a daemon to another one, each of
 // them twice and in any order. Both must have the same verdicts.
 func TestDaemonsWithTheSameRecordsAgree(t *testing.T) {
--- a/pkg/poison/wire.go
+++ b/pkg/poison/wire.go
@@ -66,8 +66,12 @@
 	return record, nil
 }
 
-// clampDuration returns a duration from a record, limited to 0 to CondemnationTTL, as the
-// value may be invalid.
+// maxRecordAge limits the ages in records. A condemnation lasts while its request is received, so
+// its crashes may be much older than CondemnationTTL.
+const maxRecordAge = 365 * 24 * time.Hour
+
+// clampDuration returns a duration from a record, limited to 0 to maxRecordAge, as the value may
+// be invalid.
 func clampDuration(milliseconds int64) time.Duration {
-	return time.Duration(min(max(milliseconds, 0), CondemnationTTL.Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(milliseconds, 0), maxRecordAge.Milliseconds())) * time.Millisecond
 }
