Renew the condemnation of a part on all hosts

A host that rejected no request with a condemned part for ten minutes forgot the part, though other hosts still rejected it. The next request with the part that came to this host reached endpoints and could crash them.

Cause: what all hosts need was refreshed by the host that met it only. The record that a rejection sends says that the part is still received. The receiver ignored the crashes that it knew, so their time did not move, and as they did not change the evidence the record was not forwarded beyond the neighbours.

A record now renews the known crashes in it, whether from gossip or the store, and is forwarded. All hosts of a site may reject such requests, so a host forwards one renewal of a part in 10 s, its own included; what it leaves out its neighbours have had less than 10 s before. Only a rejection makes a renewal, so a condemnation ends ten minutes after the last.

--- a/pkg/daemon/crash_records.go
+++ b/pkg/daemon/crash_records.go
@@ -48,13 +48,14 @@
 }
 
 // handlePartRecord processes a record of prompt parts from a peer, and reports whether to
-// forward it. Only one that changes the evidence is forwarded.
+// forward it. Only one that changes the evidence or renews a condemnation is forwarded.
 func (p *peers) handlePartRecord(origin string, payload []byte) bool {
 	record, err := poison.DecodePartRecord(p.now(), payload)
 	if err != nil {
 		return false
 	}
-	return p.applyPartRecord(record, origin)
+	isChanged := p.applyPartRecord(record, origin)
+	return p.parts.ForwardRenewal(p.now(), record) || isChanged
 }
 
 // applyPartRecord applies the record of another daemon, and logs the verdicts that it changes.
--- a/pkg/daemon/export_test.go
+++ b/pkg/daemon/export_test.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/store"
 )
 
@@ -20,3 +23,10 @@
 
 // RunRecovered exports runRecovered to tests.
 var RunRecovered = runRecovered
+
+// NewPartRecordHandler returns the handler for records of prompt parts of a daemon with the given
+// register. It reports whether the daemon forwards a record.
+func NewPartRecordHandler(parts *poison.PartRegister, now func() time.Time) func(origin string, payload []byte) bool {
+	p := &peers{parts: parts, now: now, log: logr.Discard()}
+	return p.handlePartRecord
+}
--- /dev/null
+++ b/pkg/poison/export_test.go
@@ -0,0 +1,8 @@
+package poison
+
+// CountRenewals returns the number of parts with a stored renewal.
+func (r *PartRegister) CountRenewals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.renewals)
+}
--- a/pkg/poison/keeper_test.go
+++ b/pkg/poison/keeper_test.go
@@ -119,3 +119,45 @@
 		}
 	})
 }
+
+// TestStoreRenewsTheCondemnationOfAPart lets a host reject requests with a part for half an hour.
+// Another one gets no requests and learns of the rejections from the store only. When they end,
+// the entries and the condemnations do.
+func TestStoreRenewsTheCondemnationOfAPart(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		s := newLeaseStore()
+		host, idle := startKeeperHost(t, s, "edge-1"), startKeeperHost(t, s, "edge-2")
+		now := time.Now()
+		for i := range 3 {
+			at := now.Add(time.Duration(i) * time.Second)
+			host.parts.AddCrash(at, poison.PartCrash{
+				Endpoint: fmt.Sprint("decode-", i), Scope: decodeScope, Request: fingerprint(fmt.Sprint("request ", i)),
+				RunStartedAt: at.Add(-100 * time.Millisecond), CrashedAt: at, Parts: []poison.Part{firstPart, badPart},
+			})
+			host.parts.RecordSurvival(decodeScope, []poison.Part{firstPart}, at.Add(500*time.Millisecond))
+		}
+		readStore(4*time.Second, host, idle)
+		verdict := func(h *keeperHost) string {
+			verdict, _, _ := h.parts.Verdict(time.Now(), []poison.Part{badPart})
+			return verdict.String()
+		}
+		for i := range 30 {
+			host.addCrash(fmt.Sprint("request ", i))
+			require.Equal(t, poison.VerdictCondemned.String(), verdict(host))
+			if _, ok := host.parts.RecordRejection(time.Now(), badPart); ok {
+				host.keeper.EnqueuePart(badPart)
+			}
+			readStore(time.Minute, host, idle)
+			require.Equal(t, poison.VerdictCondemned.String(), verdict(idle))
+		}
+		for i := range 30 {
+			host.addCrash(fmt.Sprint("later request ", i))
+			readStore(time.Minute, host, idle)
+		}
+		require.Equal(t, poison.VerdictClear.String(), verdict(host))
+		require.Equal(t, poison.VerdictClear.String(), verdict(idle))
+		for key := range s.content().Entries {
+			require.NotContains(t, key, "/parts/")
+		}
+	})
+}
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -87,6 +87,21 @@
 	Survivals []Survival
 }
 
+// renewedPart returns the part whose condemnation a record renews. The record of a rejection
+// contains only this part of the prompts.
+func (r PartRecord) renewedPart() (Part, bool) {
+	if len(r.Crashes) == 0 || len(r.Crashes[0].Parts) != 1 {
+		return 0, false
+	}
+	p := r.Crashes[0].Parts[0]
+	for _, c := range r.Crashes {
+		if len(c.Parts) != 1 || c.Parts[0] != p {
+			return 0, false
+		}
+	}
+	return p, true
+}
+
 // PartEvidence is what a verdict on a part is based on, without the crashes that a survival or
 // another part explains.
 type PartEvidence struct {
--- a/pkg/poison/part_register.go
+++ b/pkg/poison/part_register.go
@@ -19,6 +19,9 @@
 	// evaluationInterval is the longest time between evaluations, because some evidence
 	// depends on the time.
 	evaluationInterval = 250 * time.Millisecond
+	// minForwardInterval is the shortest interval between the renewals of a condemnation that a
+	// daemon forwards. Each of many daemons that reject requests sends its own.
+	minForwardInterval = 10 * time.Second
 )
 
 // PartRegister determines the parts of prompts that crash endpoints. Its crashes and survivals
@@ -34,8 +37,15 @@
 	isStale     bool
 	// changes are the verdicts that changed since the last call of TakeChanges.
 	changes []PartEvidence
-	// renewedAt is the time of the last record that keeps a condemnation active.
-	renewedAt map[Part]time.Time
+	// renewals are the latest renewals of condemnations.
+	renewals map[Part]renewal
+}
+
+// renewal contains the times of the last records that keep the condemnation of a part active:
+// the last one for a rejection here, and the last one that was sent or forwarded to peers.
+type renewal struct {
+	renewedAt time.Time
+	sentAt    time.Time
 }
 
 // partCrashKey identifies the crash of one incarnation of an endpoint as one request saw it.
@@ -54,9 +64,15 @@
 	return incarnation{endpoint: c.Endpoint, born: c.Born.UnixMilli()}
 }
 
+func (c *storedPartCrash) renew(now time.Time) {
+	if until := now.Add(CondemnationTTL); until.After(c.expiresAt) {
+		c.expiresAt = until
+	}
+}
+
 // NewPartRegister returns an empty PartRegister.
 func NewPartRegister() *PartRegister {
-	return &PartRegister{crashes: map[partCrashKey]*storedPartCrash{}, renewedAt: map[Part]time.Time{}}
+	return &PartRegister{crashes: map[partCrashKey]*storedPartCrash{}, renewals: map[Part]renewal{}}
 }
 
 // AddCrash stores a crash. It returns the record to send to all daemons, which contains the
@@ -103,11 +119,16 @@
 	return isChanged
 }
 
-// add stores a crash and reports whether it is new. r.mu must be held.
+// add stores a crash and reports whether it is new. A record of a known one renews it. r.mu must
+// be held.
 func (r *PartRegister) add(now time.Time, c PartCrash) bool {
 	stored := &storedPartCrash{PartCrash: c, expiresAt: now.Add(CondemnationTTL)}
 	key := partCrashKey{incarnation: stored.incarnation(), scope: c.Scope, request: c.Request}
-	if _, ok := r.crashes[key]; ok || len(c.Parts) == 0 {
+	if known, ok := r.crashes[key]; ok {
+		known.renew(now)
+		return false
+	}
+	if len(c.Parts) == 0 {
 		return false
 	}
 	if len(r.crashes) >= maxPartCrashes {
@@ -141,7 +162,7 @@
 	}
 }
 
-// removeExpired removes the expired crashes. r.mu must be held.
+// removeExpired removes the expired crashes and renewals. r.mu must be held.
 func (r *PartRegister) removeExpired(now time.Time) {
 	for key, c := range r.crashes {
 		if !now.Before(c.expiresAt) {
@@ -149,6 +170,11 @@
 			r.isStale = true
 		}
 	}
+	for p, last := range r.renewals {
+		if now.Sub(last.sentAt) >= CondemnationTTL {
+			delete(r.renewals, p)
+		}
+	}
 }
 
 // addSurvival stores a survival. It reports whether the survival explains a crash that none
@@ -277,13 +303,12 @@
 	r.mu.Lock()
 	for _, c := range r.crashes {
 		if slices.Contains(c.Parts, p) {
-			c.expiresAt = now.Add(CondemnationTTL)
+			c.renew(now)
 		}
 	}
-	last, ok := r.renewedAt[p]
-	isDue := !ok || now.Sub(last) >= renewInterval
+	isDue := now.Sub(r.renewals[p].renewedAt) >= renewInterval
 	if isDue {
-		r.renewedAt[p] = now
+		r.renewals[p] = renewal{renewedAt: now, sentAt: now}
 	}
 	r.mu.Unlock()
 	if !isDue {
@@ -292,6 +317,24 @@
 	return r.Record(p), true
 }
 
+// ForwardRenewal reports whether to forward the record of a rejection that a peer sent. The
+// answer is true at most once per minForwardInterval for each part.
+func (r *PartRegister) ForwardRenewal(now time.Time, record PartRecord) bool {
+	p, ok := record.renewedPart()
+	if !ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.renewals[p]
+	if now.Sub(last.sentAt) < minForwardInterval {
+		return false
+	}
+	last.sentAt = now
+	r.renewals[p] = last
+	return true
+}
+
 // survivalTable stores the latest survivals. It has two generations, so that at the limit the
 // survivals that were not renewed for the longest time are dropped.
 type survivalTable struct {
--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -284,3 +284,17 @@
 	requirePart(t, rejecting, last, badPart, poison.VerdictCondemned)
 	requirePart(t, idle, last, badPart, poison.VerdictCondemned)
 }
+
+// TestRenewalsOfEndedCondemnationsAreDropped passes renewals of many parts to a host.
+func TestRenewalsOfEndedCondemnationsAreDropped(t *testing.T) {
+	r := condemnPart(t)
+	for i := range 100 {
+		part := poison.NewPart(fmt.Sprint("part ", i))
+		record := poison.PartRecord{Crashes: []poison.PartCrash{partCrash("decode-1", i, 2*time.Second, part)}}
+		r.Apply(epoch.Add(2*time.Second), record)
+		require.True(t, r.ForwardRenewal(epoch.Add(2*time.Second), record))
+	}
+	require.Equal(t, 100, r.CountRenewals())
+	requirePart(t, r, 2*time.Second+poison.CondemnationTTL, badPart, poison.VerdictClear)
+	require.Zero(t, r.CountRenewals())
+}
--- a/pkg/poison/part_verdict.go
+++ b/pkg/poison/part_verdict.go
@@ -72,7 +72,7 @@
 	for p, e := range r.verdicts {
 		if _, ok := verdicts[p]; !ok && e.Verdict != VerdictClear {
 			r.changes = append(r.changes, PartEvidence{Part: p, Verdict: VerdictClear})
-			delete(r.renewedAt, p)
+			delete(r.renewals, p)
 		}
 	}
 	r.changes = r.changes[max(len(r.changes)-maxPartCrashes, 0):]
