Grant permits by the lower of two known limits

A keeper that had missed a change of a limit, cut off or frozen at that time, granted permits by the earlier, higher limit. If it sends no requests to the endpoint itself it never hears the new one. In the model the endpoint got 240 requests in 4 s where 49 are allowed, from hosts that knew its limit.

Cause: the requester names the limit that it knows, but the keeper used that only if it knew none. It now grants by the lower one. A host that has missed a rise lowers the rate for the time since the request before only, and hears the limit with its first response.

TestKeeperThatMissedALowerLimitKeepsIt was red before and is green. TestHostThatMissedAHigherLimitDoesNotLowerIt holds the other direction and was green before.

--- a/pkg/ratelimit/gate.go
+++ b/pkg/ratelimit/gate.go
@@ -244,7 +244,8 @@
 }
 
 // grant decides as a keeper on a request for a permit. asked is the limit that the requester
-// knows, which counts if this host has not heard of it yet.
+// knows. The lower one of it and the one that this host knows counts, as each host may have
+// missed a change.
 func (g *Gate) grant(now time.Time, text string, asked float64) bool {
 	wanted, ok := parseResource(text)
 	if !ok || !(asked > 0) {
@@ -252,7 +253,7 @@
 	}
 	rate := Bound(asked)
 	if known, ok := g.config.Limits.Rate(wanted.endpoint, time.UnixMilli(wanted.born)); ok {
-		rate = known
+		rate = min(rate, known)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/ratelimit/gate_test.go
+++ b/pkg/ratelimit/gate_test.go
@@ -75,6 +75,10 @@
 func (h *gateHost) start() {
 	h.limits = ratelimit.NewRegister()
 	h.limits.Apply(ratelimit.Limit{Endpoint: "desk-1", Born: born, Rate: h.site.rate, HeardAt: time.Now()})
+	h.startGate()
+}
+
+func (h *gateHost) startGate() {
 	h.gate = ratelimit.NewGate(ratelimit.GateConfig{
 		Host: h.name, Limits: h.limits, Publish: h.publish, Keeper: func(string) string { return h.alive[0].name },
 		Share: func() float64 { return float64(len(h.alive)) / float64(len(h.site.hosts)) },
@@ -387,6 +391,31 @@
 	})
 }
 
+// TestKeeperThatMissedALowerLimitKeepsIt gives the keeper an earlier limit, which was higher. It
+// sends no requests, so it hears no other.
+func TestKeeperThatMissedALowerLimitKeepsIt(t *testing.T) {
+	for _, count := range []int{7, 300} {
+		virtual.Run(t, func(t *testing.T) {
+			s := newGateSite(7.4, count, 11)
+			s.hosts[0].limits = ratelimit.NewRegister()
+			s.hosts[0].limits.Apply(ratelimit.Limit{Endpoint: "desk-1", Born: born, Rate: 60, HeardAt: time.Now().Add(-time.Minute)})
+			s.hosts[0].startGate()
+			s.runFrom(s.hosts[1:], 200, 20*time.Second)
+			s.requireWithinLimit(t, 20*time.Second, 0.5)
+		})
+	}
+}
+
+// TestHostThatMissedAHigherLimitDoesNotLowerIt gives one host of few an earlier limit.
+func TestHostThatMissedAHigherLimitDoesNotLowerIt(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		s := newGateSite(60, 7, 12)
+		s.hosts[1].limits.Apply(ratelimit.Limit{Endpoint: "desk-1", Born: born, Rate: 1, HeardAt: time.Now().Add(time.Millisecond)})
+		s.run(200, 20*time.Second)
+		s.requireWithinLimit(t, 20*time.Second, 0.5)
+	})
+}
+
 // TestUrgentRequestsGetThePermits sends both kinds to an endpoint that accepts as many as are
 // urgent.
 func TestUrgentRequestsGetThePermits(t *testing.T) {
