Drop a check of states that no test holds

The state of an update in a message was bounded, without a test: only daemons sign messages. Entries of the store must be alive, as before.

--- a/pkg/member/service_messages.go
+++ b/pkg/member/service_messages.go
@@ -33,8 +33,8 @@
 	if !ok || w.Port == 0 {
 		return Member{}, errors.New("invalid address")
 	}
-	if w.Host == "" || w.State > uint8(StateDead) || w.Milliprocessors > maxProcessors*milliprocessorsPerProcessor {
-		return Member{}, errors.Newf("invalid host %.40q, state %d or processors %d", w.Host, w.State, w.Milliprocessors)
+	if w.Host == "" || w.Milliprocessors > maxProcessors*milliprocessorsPerProcessor {
+		return Member{}, errors.Newf("invalid host %.40q or processors %d", w.Host, w.Milliprocessors)
 	}
 	return Member{
 		Host: w.Host, AvailabilityZone: w.AvailabilityZone,
