Close the responses of calls to second endpoints that are not used

What could be seen: a daemon that can send nothing more to an endpoint, since its connection limit there is reached by connections that nobody uses. A call that is sent to two endpoints, or whose caller leaves, cancels the send that it does not need. A response that had arrived by then was never closed, and the pool counted its connection for ever.

Cause: plainRun.close cancels the sends, but a response that has been read is not affected by that, and nobody received it. A large response that is forwarded slowly gives the other one much time to arrive.

The responses that still arrive are now received and closed. One more goroutine runs for a call that leaves a send behind, until that send ends.

TestResponseThatIsNotUsedIsClosed was red before in all four cases (one open body) and is green now.

--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -66,11 +66,21 @@
 	return run.waitForResponse(ctx)
 }
 
-// close cancels the sends whose response is not needed.
+// close cancels the sends whose response is not needed. Responses that arrive nevertheless are
+// closed, since each of them occupies a connection.
 func (p *plainRun) close() {
 	for _, cancel := range p.pending {
 		cancel()
 	}
+	if unused := len(p.pending); unused > 0 {
+		go func() {
+			for range unused {
+				if s := <-p.results; s.response != nil {
+					_ = s.response.Body.Close()
+				}
+			}
+		}()
+	}
 	if p.errorResult != nil {
 		_ = p.errorResult.response.Body.Close()
 		p.errorResult.cancel()
