Reject events of a stream that contain the head of another response

What callers could get: the text of another response inside an event. If a server broke off inside an event, and a further response followed on the connection, the head was a part of the event up to its blank line, and the block counted as an event for its id.

Cause: a block was an event if any of its lines had an id. Its other lines were not looked at, so the table of ends had the head behind a blank line only.

Each line must now be a comment or can be a field, whose name is in lower case, as all names in streams of the platform. Text of an event whose head has only lower-case names is still not noticed, nor is the status line inside a line of data.

TestStreamInUnusualFormIsForwardedOrBroken was red in 3 of its cases before (a head inside an event, after a line of one, and in front of one), and is again without hasOnlyFields. TestPlainResponseInUnusualFormIsForwarded (no body, interim responses, trailers, further bytes) and TestResponseBeforeTheEndOfALongRequest were green from their first run.

--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		id, ok := eventID(block)
-		if !ok {
+		if !ok || !hasOnlyFields(block) {
 			return event{}, errNotAnEvent
 		}
 		return event{raw: r.buffer, id: id}, nil
@@ -94,6 +94,20 @@
 	return true
 }
 
+// hasOnlyFields reports whether each line of a block can be a field or a comment. Names of fields
+// are in lower case, so that the lines of another response's head are none.
+func hasOnlyFields(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		for _, c := range name {
+			if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '_') {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // eventID returns the number in the last id field of an event.
 func eventID(text []byte) (int64, bool) {
 	id, found := int64(0), false
