Do not believe a resumption that ends before the events of its caller

What callers could get: 200 and an empty body, framed as complete, for a stream that was not at its end. A caller that resumes its stream after event 4 got it if the endpoint ignored the position, and ended its response after event 2.

Cause: a response without a new event was complete for each caller that names its last event, as endpoints respond with an empty body when nothing follows. A response whose events all precede that one is not empty; it shows that the stream was cut.

Such a response is now complete only if it is empty or ends with the event that the caller has.

TestEventsThatEndBeforeThoseOfTheCallerAreNoEnd was red before (200) and is again without the condition. Its other case, a repetition of the whole stream, stays complete.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -53,7 +53,7 @@
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken) {
-			return s.complete(response, reader.trailer(), s.eventCount > before)
+			return s.complete(response, reader.trailer(), s.eventCount > before, previous)
 		}
 		if err != nil {
 			return errors.Newf("read event: %w", errors.Mark(err, connection.ErrBroken))
@@ -111,10 +111,12 @@
 // complete finishes the stream with the comments after its last event. A response without an
 // event shows no end, except to a caller that has asked for the events after the last one that
 // it has: to such a request endpoints respond with an empty body when no event follows. A closed
-// connection alone does not show that, as a crash looks the same.
-func (s *stream) complete(response *Response, trailer []byte, hasEvents bool) error {
+// connection alone does not show that, as a crash looks the same, and neither do events that end
+// before that one. last is the number of the last event of the response, or NoEvent.
+func (s *stream) complete(response *Response, trailer []byte, hasEvents bool, last int64) error {
 	if !hasEvents {
-		nothingFollows := s.eventCount == 0 && s.job.call.LastEvent != NoEvent && response.Framing != connection.FramingClose
+		nothingFollows := s.eventCount == 0 && s.job.call.LastEvent != NoEvent && response.Framing != connection.FramingClose &&
+			(last == NoEvent || last == s.lastEvent)
 		if !nothingFollows {
 			return errors.Newf("response has no further events: %w", connection.ErrBroken)
 		}
