Forward comments of a stream at once

A comment that an endpoint sends in a pause, to keep the connection alive, reached the caller with the next event only.

Cause: since the ends of streams are proved, comments were read together with the event behind them. They are passed on at once where the response has begun, and before the first event otherwise. They still are no progress of the stream and no proof of its end.

TestCommentsBetweenEventsAreForwardedAtOnce failed before.

--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -14,9 +14,11 @@
 // relays dozens of streams.
 const maxEventBytes = 128 << 10
 
-// event is one event of a stream and the comments before it, byte for byte as received.
+// event is one event of a stream, or a comment, byte for byte as received with the blank lines
+// before it.
 type event struct {
-	raw []byte
+	raw       []byte
+	isComment bool
 	// id is the number in the event's id field.
 	id int64
 }
@@ -32,7 +34,7 @@
 // the platform's streams have numbers.
 type eventReader struct {
 	reader *bufio.Reader
-	// buffer contains the comments before the next event and that event, as far as it was read.
+	// buffer contains the next event, as far as it was read.
 	buffer []byte
 }
 
@@ -40,8 +42,8 @@
 	return &eventReader{reader: bufio.NewReader(body)}
 }
 
-// next returns the next event. The error is io.EOF only when the body is complete and has
-// nothing but comments after its last event. The event is valid until the next call.
+// next returns the next event or comment. The error is io.EOF only when the body is complete and
+// does not end within an event. The event is valid until the next call.
 func (r *eventReader) next() (event, error) {
 	r.buffer = r.buffer[:0]
 	blockStart, lineStart := 0, 0
@@ -67,9 +69,12 @@
 		}
 		block := bytes.Trim(r.buffer[blockStart:], "\r\n")
 		blockStart = len(r.buffer)
-		if isComment(block) {
+		if len(block) == 0 {
 			continue
 		}
+		if isComment(block) {
+			return event{raw: r.buffer, isComment: true}, nil
+		}
 		id, ok := eventID(block)
 		if !ok || !hasOnlyFields(block) {
 			return event{}, errNotAnEvent
@@ -78,8 +83,8 @@
 	}
 }
 
-// trailer returns the comments and blank lines after the last event. It is valid after next has
-// returned io.EOF.
+// trailer returns the blank lines at the end of the body. It is valid after next has returned
+// io.EOF.
 func (r *eventReader) trailer() []byte {
 	return r.buffer
 }
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -29,7 +29,9 @@
 			return texts, ids, err
 		}
 		texts = append(texts, string(e.raw))
-		ids = append(ids, e.id)
+		if !e.isComment {
+			ids = append(ids, e.id)
+		}
 	}
 }
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -29,6 +29,9 @@
 	// lastEvent is the number of the last event that was forwarded.
 	lastEvent  int64
 	eventCount int
+	// heldComments are comments that came before the first event. The response to the caller
+	// begins with an event.
+	heldComments []byte
 	// lastAt is the time when the last event was forwarded, maxGap the longest time
 	// between two events.
 	lastAt time.Time
@@ -49,6 +52,7 @@
 		defer timer.Stop()
 	}
 	before, previous := s.eventCount, NoEvent
+	s.heldComments = nil
 	reader := newEventReader(response.Body)
 	for {
 		e, err := reader.next()
@@ -58,6 +62,12 @@
 		if err != nil {
 			return errors.Newf("read event: %w", errors.Mark(err, connection.ErrBroken))
 		}
+		if e.isComment {
+			if err := s.forwardComment(e); err != nil {
+				return err
+			}
+			continue
+		}
 		if e.id <= previous {
 			return errors.Newf("event %d follows event %d: %w", e.id, previous, connection.ErrBroken)
 		}
@@ -71,6 +81,19 @@
 	}
 }
 
+// forwardComment sends a comment to the caller at once, since it may keep the connection alive. It
+// is no progress of the stream.
+func (s *stream) forwardComment(e event) error {
+	if s.job.writer.Started() {
+		return s.write(e.raw)
+	}
+	s.heldComments = append(s.heldComments, e.raw...)
+	if len(s.heldComments) > maxEventBytes {
+		return errors.Newf("read comments: %w", errors.Mark(errEventSize, connection.ErrBroken))
+	}
+	return nil
+}
+
 // forwardEvent sends one event to the caller, unless the caller already has it.
 func (s *stream) forwardEvent(response *Response, e event, now time.Time) error {
 	if e.id <= s.lastEvent {
@@ -108,7 +131,7 @@
 	return min(events*max(j.service.Engine.TokensPerEvent, 1), j.call.OutputTokens)
 }
 
-// complete finishes the stream with the comments after its last event. A response without an
+// complete finishes the stream with the blank lines after its last event. A response without an
 // event shows no end, except to a caller that has asked for the events after the last one that
 // it has: to such a request endpoints respond with an empty body when no event follows. A closed
 // connection alone does not show that, as a crash looks the same, and neither do events that end
@@ -135,7 +158,13 @@
 func (s *stream) writeHeader(response *Response) error {
 	header := response.Header.Clone()
 	header.Del("Content-Length")
-	return s.job.writer.writeHeader(response.Status, header)
+	if err := s.job.writer.writeHeader(response.Status, header); err != nil {
+		return err
+	}
+	if len(s.heldComments) == 0 {
+		return nil
+	}
+	return s.write(s.heldComments)
 }
 
 // write sends a part of the stream to the caller.
