Take no answer of another service for an absent key

A store address at which another service answered 200 with an object said that a key does not exist: a call with an Idempotency-Key could be told that it has not run although it had.

Cause: an absent key is an empty list in the store's response, and a response without anything was read as one. Each response of the store has its revision, and a lease has an ID; without them the outcome is unknown.

TestAnswerOfAnotherServiceIsNoAbsentKey failed before.

--- a/pkg/store/store_gateway.go
+++ b/pkg/store/store_gateway.go
@@ -58,7 +58,8 @@
 }
 
 type rangeResponse struct {
-	KeyValues []keyValue `json:"kvs"`
+	Header    responseHeader `json:"header"`
+	KeyValues []keyValue     `json:"kvs"`
 }
 
 type compareRequest struct {
@@ -193,11 +194,23 @@
 	return nil
 }
 
+// check returns an error for a response of a service that is not the store: each response of the
+// store has its revision. Without the check, an empty object would say that a key does not exist.
+func (h responseHeader) check() error {
+	if h.Revision <= 0 {
+		return errors.Newf("response has no revision: %w", ErrOutcomeUnknown)
+	}
+	return nil
+}
+
 func (g *gateway) get(ctx context.Context, key string) (Entry, error) {
 	var response rangeResponse
 	if err := g.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &response); err != nil {
 		return Entry{}, errors.Newf("get %s: %w", key, err)
 	}
+	if err := response.Header.check(); err != nil {
+		return Entry{}, errors.Newf("get %s: %w", key, err)
+	}
 	if len(response.KeyValues) == 0 {
 		return Entry{Key: key}, nil
 	}
@@ -230,6 +243,9 @@
 	if err := g.call(ctx, "/v3/kv/txn", newTransaction(commit), &transaction); err != nil {
 		return CommitResult{}, errors.Newf("commit: %w", err)
 	}
+	if err := transaction.Header.check(); err != nil {
+		return CommitResult{}, errors.Newf("commit: %w", err)
+	}
 	result := CommitResult{Succeeded: transaction.Succeeded, Revision: Revision(transaction.Header.Revision)}
 	for _, response := range transaction.Responses {
 		if response.Range == nil {
@@ -248,6 +264,9 @@
 	if err := g.call(ctx, "/v3/lease/grant", leaseRequest{Seconds: seconds}, &response); err != nil {
 		return 0, errors.Newf("grant lease: %w", err)
 	}
+	if response.ID == 0 {
+		return 0, errors.Newf("grant lease: response has no lease: %w", ErrOutcomeUnknown)
+	}
 	return LeaseID(response.ID), nil
 }
 
