Take no reply to an earlier incarnation for a permit

A host that was restarted could send a request to a limited endpoint, or retry one, with the keeper's reply to a request of its earlier incarnation.

Cause: requests to a keeper were numbered from 1 in each incarnation, and replies are matched by the number. Numbers now begin at a random one, as those of claims do.

TestReplyToAnEarlierIncarnationGrantsNoPermit failed before.

--- a/pkg/permit/exchange.go
+++ b/pkg/permit/exchange.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -86,7 +87,11 @@
 
 // NewExchange returns an Exchange. Route must be called for it to receive messages.
 func NewExchange(config Config) *Exchange {
-	return &Exchange{config: config, pending: map[uint64]chan bool{}, cooldowns: map[string]cooldown{}}
+	return &Exchange{
+		config: config, pending: map[uint64]chan bool{}, cooldowns: map[string]cooldown{},
+		// A reply to an earlier incarnation of this host must match no number of this one.
+		lastSerial: rand.Uint64(),
+	}
 }
 
 // Route adds the message handlers to a router, for messages from a subscriber.
