Do not count interim responses as late ones

What callers got: 502 for a call that has run, if its endpoint sent more than four interim responses (status 1xx) before the response, as some servers do while a call takes long.

Cause: they were counted with late responses to earlier requests, of which four are skipped.

Up to 32 interim responses are skipped now before each response; the limit on the bytes of a head covers all of them together. TestEarlyResponsesWithoutEndAreLimited stays green.

Case "many interim responses" of TestPlainResponseInUnusualFormIsForwarded was red before (502) and is green now. "endless interim responses" was added with it.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -114,9 +114,11 @@
 	// writes a larger request. If the request was sent completely, the goroutine only needs
 	// to be scheduled to report it.
 	writerWaitTimeout = 10 * time.Millisecond
-	// maxHeadBytes limits the head of a response. HTTP servers and proxies usually allow
-	// 8 to 64 KB.
+	// maxHeadBytes limits the head of a response and of the interim ones before it. HTTP servers
+	// and proxies usually allow 8 to 64 KB.
 	maxHeadBytes = 64 << 10
+	// maxInterimResponses limits the interim responses (status 1xx) before a response.
+	maxInterimResponses = 32
 	// maxLateResponses limits the late responses to earlier requests that are skipped for
 	// one request.
 	maxLateResponses = 4
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -298,15 +298,10 @@
 func (e *exchange) readHead(request *Request) (*Response, error) {
 	c := e.connection
 	for late := 0; late <= maxLateResponses; late++ {
-		c.bounded.setLimit(maxHeadBytes)
-		head, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
-		c.bounded.removeLimit()
+		head, err := c.readFinalHead(request.Method)
 		if err != nil {
 			return nil, errors.Newf("read response head: %w", err)
 		}
-		if head.StatusCode < http.StatusOK {
-			continue
-		}
 		if request.matches(head.Header) {
 			body := &Body{exchange: e, body: head.Body, reusable: !head.Close, idleTimeout: idleTimeout(head.Header)}
 			return &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Body: body}, nil
@@ -321,6 +316,20 @@
 	return nil, errors.New("too many late responses")
 }
 
+// readFinalHead reads the head of the next response and skips the interim responses before it.
+// maxInterimResponses limits these, and maxHeadBytes all of them together.
+func (c *connection) readFinalHead(method string) (*http.Response, error) {
+	c.bounded.setLimit(maxHeadBytes)
+	defer c.bounded.removeLimit()
+	for range maxInterimResponses + 1 {
+		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || head.StatusCode >= http.StatusOK {
+			return head, err
+		}
+	}
+	return nil, errors.New("too many interim responses")
+}
+
 func framingOf(head *http.Response) Framing {
 	switch {
 	case len(head.TransferEncoding) > 0:
