Name the two ends of a caller's connection, and the proof of a last event

No behaviour changes: ResetOnClose and CloseInOrder in place of one function with a flag, and the decision on a response without a new event in a function of its own.

--- a/pkg/connection/guard.go
+++ b/pkg/connection/guard.go
@@ -215,11 +215,20 @@
 	return ok && g.isAmbiguous()
 }
 
-// ResetOnClose makes the connection of a request's context end with a reset, or again with an
-// orderly close. To a peer that cannot receive chunks, only a reset shows that a response is
-// incomplete, whoever closes the connection and for whatever reason. ctx must derive from
-// GuardContext.
-func ResetOnClose(ctx context.Context, reset bool) error {
+// ResetOnClose makes the connection of a request's context end with a reset, whoever closes it and
+// for whatever reason. To a peer that cannot receive chunks, only a reset shows that a response is
+// incomplete. ctx must derive from GuardContext.
+func ResetOnClose(ctx context.Context) error {
+	return setLinger(ctx, 0)
+}
+
+// CloseInOrder makes the connection of a request's context end with an orderly close again.
+func CloseInOrder(ctx context.Context) error {
+	// With a negative value, a close sends the remaining data first.
+	return setLinger(ctx, -1)
+}
+
+func setLinger(ctx context.Context, seconds int) error {
 	g, ok := ctx.Value(guardKey{}).(*guardedConn)
 	if !ok {
 		return nil
@@ -228,19 +237,12 @@
 	if !ok {
 		return errors.Newf("%T cannot be reset", g.Conn)
 	}
-	seconds := orderlyClose
-	if reset {
-		seconds = 0
-	}
 	if err := socket.SetLinger(seconds); err != nil {
 		return errors.Newf("set how a connection is closed: %w", err)
 	}
 	return nil
 }
 
-// orderlyClose is the value of SetLinger with which a close sends the remaining data first.
-const orderlyClose = -1
-
 // EndRequest discards the head of the request of a context. The handler must call it when it
 // has finished the request.
 func EndRequest(ctx context.Context) {
--- a/pkg/connection/guard_test.go
+++ b/pkg/connection/guard_test.go
@@ -178,15 +178,17 @@
 		server := &http.Server{
 			ReadHeaderTimeout: 3 * time.Second, ConnContext: connection.GuardContext,
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if err := connection.ResetOnClose(r.Context(), true); err != nil {
+				if err := connection.ResetOnClose(r.Context()); err != nil {
 					panic(err)
 				}
 				_, _ = io.WriteString(w, "a part")
 				_ = http.NewResponseController(w).Flush()
 				// The peer reads the part before the reset.
 				time.Sleep(20 * time.Millisecond)
-				if err := connection.ResetOnClose(r.Context(), isReset); err != nil {
-					panic(err)
+				if !isReset {
+					if err := connection.CloseInOrder(r.Context()); err != nil {
+						panic(err)
+					}
 				}
 				panic(http.ErrAbortHandler)
 			}),
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -57,7 +57,10 @@
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, connection.ErrBroken) {
-			return s.complete(response, reader.trailer(), s.eventCount > before, previous)
+			if s.eventCount == before && !s.hasLastEvent(response, previous) {
+				return errors.Newf("response has no further events: %w", connection.ErrBroken)
+			}
+			return s.complete(response, reader.trailer())
 		}
 		if err != nil {
 			return errors.Newf("read event: %w", errors.Mark(err, connection.ErrBroken))
@@ -131,18 +134,21 @@
 	return min(events*max(j.service.Engine.TokensPerEvent, 1), j.call.OutputTokens)
 }
 
-// complete finishes the stream with the blank lines after its last event. A response without an
-// event shows no end, except to a caller that has asked for the events after the last one that
-// it has: to such a request endpoints respond with an empty body when no event follows. A closed
-// connection alone does not show that, as a crash looks the same, and neither do events that end
-// before that one. last is the number of the last event of the response, or NoEvent.
-func (s *stream) complete(response *Response, trailer []byte, hasEvents bool, last int64) error {
-	if !hasEvents {
-		nothingFollows := s.eventCount == 0 && s.job.call.LastEvent != NoEvent && response.Framing != connection.FramingClose &&
-			(last == NoEvent || last == s.lastEvent)
-		if !nothingFollows {
-			return errors.Newf("response has no further events: %w", connection.ErrBroken)
-		}
+// hasLastEvent reports whether a complete response without a new event shows that the caller has
+// the last event of the stream. It does to a caller that has asked for the events after one that it
+// has, as endpoints respond with an empty body when none follows, or with the events up to that
+// one. lastInResponse is the number of the last event of the response, or NoEvent. The close of the
+// connection alone shows nothing, as a crash looks the same.
+func (s *stream) hasLastEvent(response *Response, lastInResponse int64) bool {
+	if s.eventCount > 0 || s.job.call.LastEvent == NoEvent || response.Framing == connection.FramingClose {
+		return false
+	}
+	return lastInResponse == NoEvent || lastInResponse == s.lastEvent
+}
+
+// complete finishes the stream with the blank lines after its last event.
+func (s *stream) complete(response *Response, trailer []byte) error {
+	if !s.job.writer.Started() {
 		if err := s.writeHeader(response); err != nil {
 			return err
 		}
