Count crashes of a request until many runs have completed

Callers saw: a request that crashes servers in every second or third run, or only some servers, was sent on without end. Cause: a completed run cleared all crashes that were known when it started. It shows that one endpoint survived once, not that the crashes before had another cause.

A crash now counts until 32 runs that started after it have completed at its stage. A request that has completed since its last crash is not a suspect, as before, so nothing changes for its placement. Completed runs do not extend the time for which crashes are kept. Records with completed runs have one more element; those without keep the old form.

Ruled out: never to clear a crash, which condemns a sound request that is repeated each second beside three crashes in 10 minutes. The model of the rule has servers that answer some runs completely. TestRunThatBeganBeforeACrashDoesNotClearIt asks the same of as many runs as clear a crash.

--- a/pkg/daemon/crash_records.go
+++ b/pkg/daemon/crash_records.go
@@ -34,7 +34,7 @@
 	}
 	verdict, _ := p.poison.Verdict(now, record.Fingerprint)
 	p.log.Info("crash record of a request was received", "fingerprint", record.Fingerprint.String(), "ends", len(record.Crashes),
-		"cleared", len(record.Cleared), "verdict", verdict.String(), "origin", origin)
+		"cleared", len(record.Cleared), "survivals", len(record.Survivals), "verdict", verdict.String(), "origin", origin)
 }
 
 // broadcastPartRecord sends a record of prompt parts to the other daemons.
--- a/pkg/front/chat_run.go
+++ b/pkg/front/chat_run.go
@@ -71,7 +71,7 @@
 		}
 		lastErr = err
 		if err == nil {
-			f.clearCrashes(job.fingerprint, job.knownCrashes)
+			f.recordRequestSurvival(job.fingerprint, job.knownCrashes)
 			return stats, nil
 		}
 		if ctx.Err() != nil {
--- a/pkg/front/crash.go
+++ b/pkg/front/crash.go
@@ -42,11 +42,11 @@
 	log.Info("endpoint crashed while it ran the request", "endpoint", failed.Name, "verdict", verdict.String())
 }
 
-// clearCrashes clears crashes of a request after a run of it has completed. crashes are those
-// that were known when the run started.
-func (f *Front) clearCrashes(fingerprint poison.Fingerprint, crashes []poison.CrashID) {
+// recordRequestSurvival records a completed run of a request. crashes are those that were known
+// when the run started.
+func (f *Front) recordRequestSurvival(fingerprint poison.Fingerprint, crashes []poison.CrashID) {
 	if len(crashes) > 0 {
-		f.config.BroadcastCrashRecord(f.config.Poison.ClearCrashes(f.config.Now(), fingerprint, crashes))
+		f.config.BroadcastCrashRecord(f.config.Poison.RecordSurvival(f.config.Now(), fingerprint, crashes))
 	}
 }
 
--- a/pkg/front/plain.go
+++ b/pkg/front/plain.go
@@ -242,7 +242,7 @@
 	reservation.Done(outcome)
 	switch {
 	case err == nil:
-		f.clearCrashes(job.fingerprint, knownCrashes)
+		f.recordRequestSurvival(job.fingerprint, knownCrashes)
 	case errors.Is(err, endpoint.ErrFailedAfterSend) && ctx.Err() == nil && f.hasPlainCrashed(ctx, reservation.Decode):
 		f.recordCrash(job.log, job.fingerprint, reservation.Decode, suspect, reservation.GrantedAt)
 	}
--- a/pkg/poison/export_test.go
+++ b/pkg/poison/export_test.go
@@ -6,3 +6,6 @@
 	defer r.mu.Unlock()
 	return len(r.renewals)
 }
+
+// SurvivalsPerCrash is the number of completed runs after which a crash no longer counts.
+const SurvivalsPerCrash = survivalsPerCrash
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -4,7 +4,13 @@
 // or not it caused the crash. All of these requests become suspects. A suspect is retried on
 // an endpoint without other suspects, so that only this request can cause a second crash
 // there. Such an isolated crash counts twice. A request is condemned when its crashes count
-// to three. A run that completes clears the crashes that were known when it started.
+// to three.
+//
+// A run that completes shows that one endpoint survived the request once. It does not show that
+// the request caused none of the crashes before, as a request may crash only some of the endpoints
+// or in some of its runs. So the request is no longer a suspect, but a crash counts until
+// survivalsPerCrash runs that started after it have completed. A request that crashes endpoints
+// more rarely is not told apart from one that runs beside crashes with other causes.
 //
 // The Register is a grow-only set of crashes. Crash records may arrive in any order and more
 // than once, and daemons with the same records have the same verdict. Records are sent to all
@@ -71,6 +77,10 @@
 	// isolatedCrashWeight is what an isolated crash adds to the score. Other crashes add 1.
 	condemnationThreshold = 3
 	isolatedCrashWeight   = 2
+	// survivalsPerCrash is the number of completed runs after which a crash no longer counts. It
+	// bounds the share of its runs in which a request may crash endpoints without being condemned,
+	// and lets a sound request that is sent often outlive the crashes beside it.
+	survivalsPerCrash = 32
 	// deliveryDelayLimit is the longest delay of a crash record between daemons. The times in a
 	// decoded record are late by the actual delay.
 	deliveryDelayLimit = 250 * time.Millisecond
@@ -97,6 +107,14 @@
 	return CrashID(rand.Uint64())
 }
 
+// RunID identifies a completed run.
+type RunID uint64
+
+// NewRunID returns a random ID.
+func NewRunID() RunID {
+	return RunID(rand.Uint64())
+}
+
 // Crash is the crash of an endpoint during the run of a request. Several runs may record
 // the same crash of an endpoint.
 type Crash struct {
@@ -129,15 +147,33 @@
 type CrashRecord struct {
 	Fingerprint Fingerprint
 	Crashes     []Crash
-	// Cleared are crashes that no longer count, because a run has completed.
+	// Cleared are crashes that no longer count: they did not happen, or enough runs have
+	// completed since.
 	Cleared []CrashID
+	// Survivals are the completed runs that started after a crash was known.
+	Survivals []CrashSurvivals
+}
+
+// CrashSurvivals are the completed runs of a request that started after one of its crashes was
+// known.
+type CrashSurvivals struct {
+	Crash CrashID
+	Runs  []RunID
 }
 
-// knownCrash is a stored crash. One that was cleared before it was received has only an ID
-// and a time.
+// knownCrash is a stored crash. Until it is received, only its ID, a time, the survivals and
+// whether it is cleared are known.
 type knownCrash struct {
 	Crash
-	cleared bool
+	received bool
+	cleared  bool
+	// survivals are the completed runs since. A cleared crash has none.
+	survivals []RunID
+}
+
+// counts reports whether the crash counts against the request.
+func (c knownCrash) counts() bool {
+	return c.received && !c.cleared
 }
 
 // crashHistory is the stored state of one fingerprint.
@@ -174,10 +210,10 @@
 	if history == nil || !now.Before(history.expiresAt) {
 		return VerdictClear, time.Time{}
 	}
-	switch score := r.score(f, history); {
-	case score >= condemnationThreshold:
+	if r.score(f, history) >= condemnationThreshold {
 		return VerdictCondemned, history.expiresAt
-	case score > 0:
+	}
+	if slices.ContainsFunc(history.crashes, func(c knownCrash) bool { return c.counts() && len(c.survivals) == 0 }) {
 		return VerdictSuspect, history.expiresAt
 	}
 	return VerdictClear, time.Time{}
@@ -204,7 +240,7 @@
 	latest := map[incarnation]countedCrash{}
 	total := 0
 	for _, c := range history.crashes {
-		if c.cleared {
+		if !c.counts() {
 			continue
 		}
 		weight := 1
@@ -242,7 +278,7 @@
 // isActive reports whether a crash is stored and was not cleared. r.mu must be held.
 func (r *Register) isActive(c isolatedCrash) bool {
 	history := r.histories[c.fingerprint]
-	return history != nil && slices.ContainsFunc(history.crashes, func(other knownCrash) bool { return other.ID == c.id && !other.cleared })
+	return history != nil && slices.ContainsFunc(history.crashes, func(other knownCrash) bool { return other.ID == c.id && other.counts() })
 }
 
 // AddCrash stores the crash of an endpoint during a run of the request. It returns the record
@@ -270,14 +306,19 @@
 	for _, c := range history.crashes {
 		if c.cleared {
 			record.Cleared = append(record.Cleared, c.ID)
-		} else {
+			continue
+		}
+		if c.received {
 			record.Crashes = append(record.Crashes, c.Crash)
 		}
+		if len(c.survivals) > 0 {
+			record.Survivals = append(record.Survivals, CrashSurvivals{Crash: c.ID, Runs: slices.Clone(c.survivals)})
+		}
 	}
 	return record
 }
 
-// CrashIDs returns the crashes of a fingerprint at a stage. A run that starts now clears them
+// CrashIDs returns the crashes of a fingerprint at a stage that a run which starts now survives
 // if it completes.
 func (r *Register) CrashIDs(f Fingerprint, stage string) []CrashID {
 	r.mu.Lock()
@@ -288,17 +329,28 @@
 	}
 	var ids []CrashID
 	for _, c := range history.crashes {
-		if !c.cleared && c.Stage == stage {
+		if c.counts() && c.Stage == stage {
 			ids = append(ids, c.ID)
 		}
 	}
 	return ids
 }
 
-// ClearCrashes clears crashes after a run has completed. ids are the crashes that were known
-// when the run started. It returns the record to send to all daemons.
-func (r *Register) ClearCrashes(now time.Time, f Fingerprint, ids []CrashID) CrashRecord {
-	record := CrashRecord{Fingerprint: f, Cleared: ids}
+// RecordSurvival records a completed run. ids are the crashes that were known when it started. It
+// returns the record to send to all daemons.
+func (r *Register) RecordSurvival(now time.Time, f Fingerprint, ids []CrashID) CrashRecord {
+	record := CrashRecord{Fingerprint: f}
+	run := NewRunID()
+	for _, id := range ids {
+		record.Survivals = append(record.Survivals, CrashSurvivals{Crash: id, Runs: []RunID{run}})
+	}
+	r.Apply(now, record)
+	return record
+}
+
+// WithdrawCrash clears a crash that did not happen. It returns the record to send to all daemons.
+func (r *Register) WithdrawCrash(now time.Time, f Fingerprint, id CrashID) CrashRecord {
+	record := CrashRecord{Fingerprint: f, Cleared: []CrashID{id}}
 	r.Apply(now, record)
 	return record
 }
@@ -330,7 +382,7 @@
 	defer r.mu.Unlock()
 	history := r.histories[record.Fingerprint]
 	if history == nil {
-		if len(record.Crashes)+len(record.Cleared) == 0 || !r.makeRoom(now) {
+		if len(record.Crashes)+len(record.Cleared)+len(record.Survivals) == 0 || !r.makeRoom(now) {
 			return false
 		}
 		history = &crashHistory{renewedAt: now}
@@ -341,7 +393,7 @@
 	}
 	isChanged := false
 	for _, c := range record.Crashes {
-		if history.add(knownCrash{Crash: c}) {
+		if history.add(knownCrash{Crash: c, received: true}) {
 			isChanged = true
 			r.addIsolated(now, record.Fingerprint, c)
 		}
@@ -349,36 +401,59 @@
 	for _, id := range record.Cleared {
 		isChanged = history.clear(now, id) || isChanged
 	}
-	history.expiresAt = now.Add(CondemnationTTL)
+	for _, survivals := range record.Survivals {
+		isChanged = history.addSurvivals(now, survivals) || isChanged
+	}
+	if len(record.Crashes) > 0 || history.expiresAt.IsZero() {
+		history.expiresAt = now.Add(CondemnationTTL)
+	}
 	return isChanged
 }
 
-// add stores a crash and reports whether it is new. At the limit it removes the oldest cleared
-// crash. If there is none, the new crash is ignored, as it cannot change the verdict.
+// add stores a crash and reports whether it is new. At the limit it removes the oldest crash that
+// does not count. If there is none, the new crash is ignored, as it cannot change the verdict.
 func (h *crashHistory) add(c knownCrash) bool {
-	if slices.ContainsFunc(h.crashes, func(other knownCrash) bool { return other.ID == c.ID }) {
-		return false
+	if known := h.find(c.ID); known != nil {
+		if known.received || known.cleared || !c.received {
+			return false
+		}
+		known.Crash, known.received = c.Crash, true
+		h.sort()
+		return true
 	}
-	if !c.cleared && h.countDuplicates(c) >= maxDuplicates {
+	if c.counts() && h.countDuplicates(c) >= maxDuplicates {
 		return false
 	}
 	if len(h.crashes) >= maxCrashesPerRequest {
-		oldest := slices.IndexFunc(h.crashes, func(other knownCrash) bool { return other.cleared })
+		oldest := slices.IndexFunc(h.crashes, func(other knownCrash) bool { return !other.counts() })
 		if oldest < 0 {
 			return false
 		}
 		h.crashes = slices.Delete(h.crashes, oldest, oldest+1)
 	}
 	h.crashes = append(h.crashes, c)
-	slices.SortStableFunc(h.crashes, func(a, b knownCrash) int { return a.CrashedAt.Compare(b.CrashedAt) })
+	h.sort()
 	return true
 }
 
+func (h *crashHistory) sort() {
+	slices.SortStableFunc(h.crashes, func(a, b knownCrash) int { return a.CrashedAt.Compare(b.CrashedAt) })
+}
+
+// find returns the stored crash with an ID, nil for none.
+func (h *crashHistory) find(id CrashID) *knownCrash {
+	i := slices.IndexFunc(h.crashes, func(c knownCrash) bool { return c.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &h.crashes[i]
+}
+
 // countDuplicates counts the stored entries of the same crash of an endpoint.
 func (h *crashHistory) countDuplicates(c knownCrash) int {
 	count := 0
 	for _, other := range h.crashes {
-		if !other.cleared && other.incarnation() == c.incarnation() && other.isSameCrash(c) && c.isSameCrash(other) {
+		if other.counts() && other.incarnation() == c.incarnation() && other.isSameCrash(c) && c.isSameCrash(other) {
 			count++
 		}
 	}
@@ -387,14 +462,34 @@
 
 // clear marks a crash as cleared. It also stores the ID of a crash that was not received yet.
 func (h *crashHistory) clear(now time.Time, id CrashID) bool {
-	for i := range h.crashes {
-		if h.crashes[i].ID == id {
-			isChanged := !h.crashes[i].cleared
-			h.crashes[i].cleared = true
-			return isChanged
+	known := h.find(id)
+	if known == nil {
+		return h.add(knownCrash{Crash: Crash{ID: id, CrashedAt: now}, cleared: true})
+	}
+	isChanged := !known.cleared
+	known.cleared, known.survivals = true, nil
+	return isChanged
+}
+
+// addSurvivals stores completed runs, which clear their crash when there are enough of them. It
+// reports whether any of them is new.
+func (h *crashHistory) addSurvivals(now time.Time, s CrashSurvivals) bool {
+	if h.find(s.Crash) == nil && !h.add(knownCrash{Crash: Crash{ID: s.Crash, CrashedAt: now}}) {
+		return false
+	}
+	known := h.find(s.Crash)
+	isChanged := false
+	for _, run := range s.Runs {
+		if known.cleared || slices.Contains(known.survivals, run) {
+			continue
+		}
+		isChanged = true
+		known.survivals = append(known.survivals, run)
+		if len(known.survivals) >= survivalsPerCrash {
+			known.cleared, known.survivals = true, nil
 		}
 	}
-	return h.add(knownCrash{Crash: Crash{ID: id, CrashedAt: now}, cleared: true})
+	return isChanged
 }
 
 // addIsolated stores an isolated crash by endpoint. At the limit it first drops the isolated
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -31,7 +31,7 @@
 		register.AddCrash(epoch, f, newCrash("decode-1", false))
 		requireVerdict(t, register, epoch, f, poison.VerdictSuspect)
 	}
-	register.ClearCrashes(epoch, harmless, register.CrashIDs(harmless, "decode"))
+	register.RecordSurvival(epoch, harmless, register.CrashIDs(harmless, "decode"))
 	register.AddCrash(epoch, crashing, newCrash("decode-2", true))
 	requireVerdict(t, register, epoch, crashing, poison.VerdictCondemned)
 	requireVerdict(t, register, epoch, harmless, poison.VerdictClear)
@@ -150,12 +150,83 @@
 	register.AddCrash(epoch, f, newCrash("decode-1", false))
 	known := register.CrashIDs(f, "decode")
 	register.AddCrash(epoch, f, newCrash("decode-2", false))
-	register.ClearCrashes(epoch, f, known)
+	for range poison.SurvivalsPerCrash {
+		register.RecordSurvival(epoch, f, known)
+	}
 	requireVerdict(t, register, epoch, f, poison.VerdictSuspect)
 	require.Len(t, register.CrashIDs(f, "decode"), 1)
 	require.Empty(t, register.CrashIDs(f, "prefill"))
 }
 
+// applyEncoded applies a record as a daemon receives it.
+func applyEncoded(t *testing.T, register *poison.Register, now time.Time, record poison.CrashRecord) {
+	payload, err := poison.EncodeCrashRecord(now, record)
+	require.NoError(t, err)
+	received, err := poison.DecodeCrashRecord(now, payload)
+	require.NoError(t, err)
+	register.Apply(now, received)
+}
+
+// TestCompletedRunsDoNotExtendTheTTLOfCrashes completes a run each minute after two crashes.
+func TestCompletedRunsDoNotExtendTheTTLOfCrashes(t *testing.T) {
+	register := poison.NewRegister()
+	f := fingerprint("seldom repeated")
+	for i := range 2 {
+		register.AddCrash(epoch, f, newCrash(fmt.Sprint("decode-", i), false))
+	}
+	for minute := range 10 {
+		now := epoch.Add(time.Duration(minute) * time.Minute)
+		require.Equal(t, 2, register.CrashScore(now, f))
+		register.RecordSurvival(now, f, register.CrashIDs(f, "decode"))
+	}
+	require.Zero(t, register.CrashScore(epoch.Add(poison.CondemnationTTL), f))
+}
+
+// TestCompletedRunsBetweenCrashesDoNotPreventCondemnation passes the records to a second register,
+// the survivals before the crash that they survived.
+func TestCompletedRunsBetweenCrashesDoNotPreventCondemnation(t *testing.T) {
+	for _, runs := range []int{1, 2, 10} {
+		register, other := poison.NewRegister(), poison.NewRegister()
+		f := fingerprint("crashes some endpoints")
+		now := epoch
+		for i := range 3 {
+			verdict, _ := register.Verdict(now, f)
+			require.NotEqual(t, poison.VerdictCondemned, verdict)
+			crash := register.AddCrash(now, f, newCrash(fmt.Sprint("decode-", i), false))
+			requireVerdict(t, register, now, f, []poison.Verdict{poison.VerdictSuspect, poison.VerdictSuspect, poison.VerdictCondemned}[i])
+			if i == 2 {
+				applyEncoded(t, other, now, crash)
+				break
+			}
+			for range runs {
+				applyEncoded(t, other, now, register.RecordSurvival(now, f, register.CrashIDs(f, "decode")))
+				requireVerdict(t, register, now, f, poison.VerdictClear)
+				now = now.Add(time.Second)
+			}
+			applyEncoded(t, other, now, crash)
+			requireVerdict(t, other, now, f, poison.VerdictClear)
+		}
+		requireVerdict(t, other, now, f, poison.VerdictCondemned)
+	}
+}
+
+// TestOftenRepeatedRequestIsNotCondemnedBesideCrashes repeats a sound request each second. Every
+// minute, the endpoint that runs it crashes for another reason.
+func TestOftenRepeatedRequestIsNotCondemnedBesideCrashes(t *testing.T) {
+	register := poison.NewRegister()
+	f := fingerprint("sound")
+	for second := range 3600 {
+		now := epoch.Add(time.Duration(second) * time.Second)
+		verdict, _ := register.Verdict(now, f)
+		require.NotEqual(t, poison.VerdictCondemned, verdict)
+		if second%60 == 0 {
+			register.AddCrash(now, f, newCrash(fmt.Sprint("decode-", second), verdict == poison.VerdictSuspect))
+		} else if known := register.CrashIDs(f, "decode"); len(known) > 0 {
+			register.RecordSurvival(now, f, known)
+		}
+	}
+}
+
 func TestCondemnationLastsWhileRequestIsRetried(t *testing.T) {
 	register := poison.NewRegister()
 	other := poison.NewRegister()
@@ -205,8 +276,15 @@
 		for range rapid.IntRange(1, 10).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "milliseconds")) * time.Millisecond)
 			f := rapid.SampledFrom(requests).Draw(t, "request")
-			if rapid.IntRange(0, 3).Draw(t, "step") == 0 {
-				records = append(records, first.ClearCrashes(now, f, first.CrashIDs(f, "decode")))
+			known := first.CrashIDs(f, "decode")
+			switch step := rapid.IntRange(0, 4).Draw(t, "step"); {
+			case step == 0 && len(known) > 0:
+				records = append(records, first.WithdrawCrash(now, f, known[0]))
+				continue
+			case step <= 1:
+				for range rapid.SampledFrom([]int{1, 5, poison.SurvivalsPerCrash}).Draw(t, "runs") {
+					records = append(records, first.RecordSurvival(now, f, known))
+				}
 				continue
 			}
 			records = append(records, first.AddCrash(now, f, newCrash(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "endpoint"), rapid.Bool().Draw(t, "alone"))))
--- a/pkg/poison/wire.go
+++ b/pkg/poison/wire.go
@@ -16,6 +16,22 @@
 	Cleared     []CrashID
 }
 
+// wireSurvivalRecord is the encoding of a CrashRecord with survivals. Daemons of earlier versions
+// cannot decode it.
+type wireSurvivalRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint Fingerprint
+	Ends        []wireCrash
+	Cleared     []CrashID
+	Survivals   []wireSurvivals
+}
+
+type wireSurvivals struct {
+	_     struct{} `cbor:",toarray"`
+	Crash CrashID
+	Runs  []RunID
+}
+
 type wireCrash struct {
 	_        struct{} `cbor:",toarray"`
 	ID       CrashID
@@ -41,7 +57,15 @@
 		}
 		wire.Ends = append(wire.Ends, encoded)
 	}
-	payload, err := link.Encode(wire)
+	var value any = wire
+	if len(record.Survivals) > 0 {
+		extended := wireSurvivalRecord{Fingerprint: wire.Fingerprint, Ends: wire.Ends, Cleared: wire.Cleared}
+		for _, s := range record.Survivals {
+			extended.Survivals = append(extended.Survivals, wireSurvivals{Crash: s.Crash, Runs: s.Runs})
+		}
+		value = extended
+	}
+	payload, err := link.Encode(value)
 	if err != nil {
 		return nil, errors.Newf("encode crash record: %w", err)
 	}
@@ -50,9 +74,13 @@
 
 // DecodeCrashRecord decodes a record that was received at now.
 func DecodeCrashRecord(now time.Time, payload []byte) (CrashRecord, error) {
-	var wire wireRecord
+	var wire wireSurvivalRecord
 	if err := link.Decode(payload, &wire); err != nil {
-		return CrashRecord{}, errors.Newf("decode crash record: %w", err)
+		var short wireRecord
+		if err := link.Decode(payload, &short); err != nil {
+			return CrashRecord{}, errors.Newf("decode crash record: %w", err)
+		}
+		wire = wireSurvivalRecord{Fingerprint: short.Fingerprint, Ends: short.Ends, Cleared: short.Cleared}
 	}
 	record := CrashRecord{Fingerprint: wire.Fingerprint, Cleared: wire.Cleared}
 	for _, c := range wire.Ends {
@@ -63,6 +91,9 @@
 		}
 		record.Crashes = append(record.Crashes, decoded)
 	}
+	for _, s := range wire.Survivals {
+		record.Survivals = append(record.Survivals, CrashSurvivals{Crash: s.Crash, Runs: s.Runs[:min(len(s.Runs), survivalsPerCrash)]})
+	}
 	return record, nil
 }
 
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -107,13 +107,13 @@
 	return poison.NewScope(u.endpoint.Service, string(u.stage))
 }
 
-// recordCompletion clears the crashes that were known when the run started.
+// recordCompletion records that the endpoint survived the request.
 func (u run) recordCompletion() {
 	u.recordSurvival()
 	r := u.relay
 	for i, crashes := range u.knownCrashes {
 		if len(crashes) > 0 {
-			r.config.BroadcastCrashRecord(r.config.Poison.ClearCrashes(r.config.Now(), u.fingerprints[i], crashes))
+			r.config.BroadcastCrashRecord(r.config.Poison.RecordSurvival(r.config.Now(), u.fingerprints[i], crashes))
 		}
 	}
 }
@@ -169,7 +169,7 @@
 	u.recordSurvival()
 	r := u.relay
 	for _, f := range u.fingerprints {
-		r.config.BroadcastCrashRecord(r.config.Poison.ClearCrashes(r.config.Now(), f, []poison.CrashID{id}))
+		r.config.BroadcastCrashRecord(r.config.Poison.WithdrawCrash(r.config.Now(), f, id))
 	}
 }
 
--- a/pkg/relay/crash_fuzz_test.go
+++ b/pkg/relay/crash_fuzz_test.go
@@ -88,6 +88,9 @@
 	downUntil time.Time
 	// nextDowntime is the downtime after the next crash.
 	nextDowntime time.Duration
+	// period is the number of runs of the request of which one crashes the server. It responds
+	// to the others completely.
+	period, runs int
 }
 
 func newCrashSimulation(ctx context.Context, seed uint64) *crashSimulation {
@@ -281,6 +284,11 @@
 		w.mu.Unlock()
 		return &relay.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("answer"))}, nil
 	}
+	if s.runs++; s.period > 0 && s.runs%s.period != 0 {
+		w.countLateRetry(now, h)
+		w.mu.Unlock()
+		return &relay.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("answer"))}, nil
+	}
 	w.crash(now, h, s)
 	mode := s.failureMode
 	w.mu.Unlock()
@@ -290,12 +298,17 @@
 	return nil, errors.Newf("closed: %w", connection.ErrBroken)
 }
 
-// crash crashes a server, and counts the send if it is a late retry. mu must be held.
-func (w *crashSimulation) crash(now time.Time, h *crashHost, s *crashServer) {
-	w.trace = append(w.trace, fmt.Sprintf("%v %s crashes %s by %s, down %v, crash score %d", now.Sub(w.start), h.name, s.name, s.failureMode, s.nextDowntime, h.register.CrashScore(now, crashingRequest)))
+// countLateRetry counts a send if it is a late retry. mu must be held.
+func (w *crashSimulation) countLateRetry(now time.Time, h *crashHost) {
 	if w.crashes >= 3 && now.After(w.thirdCrashAt.Add(condemnDelay)) && now.After(h.lastFaultEnd.Add(condemnDelay)) {
 		w.lateRetries++
 	}
+}
+
+// crash crashes a server, and counts the send if it is a late retry. mu must be held.
+func (w *crashSimulation) crash(now time.Time, h *crashHost, s *crashServer) {
+	w.trace = append(w.trace, fmt.Sprintf("%v %s crashes %s by %s, down %v, crash score %d", now.Sub(w.start), h.name, s.name, s.failureMode, s.nextDowntime, h.register.CrashScore(now, crashingRequest)))
+	w.countLateRetry(now, h)
 	// The host detects a silent crash when it reads the next incarnation of the server.
 	h.crashKnownAt = now.Add(s.nextDowntime + readInterval)
 	if w.crashes++; w.crashes == 3 {
@@ -347,7 +360,7 @@
 
 func drawCrashAction(t *rapid.T) crashAction {
 	return crashAction{
-		Kind:   rapid.SampledFrom([]string{"call", "call", "call", "call", "wait", "wait", "close", "silence", "down", "cut", "kill", "kill all", "leave", "stay"}).Draw(t, "kind"),
+		Kind:   rapid.SampledFrom([]string{"call", "call", "call", "call", "wait", "wait", "close", "silence", "down", "cut", "kill", "kill all", "leave", "stay", "partial"}).Draw(t, "kind"),
 		Host:   rapid.IntRange(0, 2).Draw(t, "host"),
 		Server: rapid.IntRange(0, 2).Draw(t, "server"),
 		For:    time.Duration(rapid.IntRange(1000, 5000).Draw(t, "ms")) * time.Millisecond,
@@ -380,6 +393,8 @@
 			h.lastFaultEnd = h.partitionedUntil
 		case "down":
 			s.nextDowntime = a.For
+		case "partial":
+			s.period = 1 + a.Server
 		case "leave", "stay":
 			w.callerTimeout = 0
 			if a.Kind == "leave" {
