Count crashes of an endpoint just after its complete response

Callers saw: a request that crashes its server just after the whole response was sent on without end. Cause: the watch on an endpoint ended with its response, so no crash was put down to the run.

An endpoint that leaves or has left closes its connections as well, and is not checked. Idle connections are looked at without a message, once for each endpoint that responded.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/maphash"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -24,12 +25,14 @@
 	// Now returns the current time.
 	Now func() time.Time
 
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*connection
-	open   map[netip.AddrPort]int
-	closed bool
-	opened int64
-	reused int64
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*connection
+	open map[netip.AddrPort]int
+	// closedAt contains the times when idle connections were found closed by the endpoint.
+	closedAt map[netip.AddrPort]time.Time
+	closed   bool
+	opened   int64
+	reused   int64
 }
 
 // connection is one open connection. It serves one exchange at a time.
@@ -39,6 +42,8 @@
 	socket  *net.TCPConn
 	bounded *boundedReader
 	reader  *bufio.Reader
+	// openedAt is the time when it was opened.
+	openedAt time.Time
 	// usableUntil is the time at which the idle timeout expires.
 	usableUntil time.Time
 	// carried contains the hashes of the IDs of all requests that were sent on the connection.
@@ -62,7 +67,7 @@
 func NewPool(limit func(netip.AddrPort) int, now func() time.Time) *Pool {
 	return &Pool{
 		Limit: limit, Now: now,
-		idle: map[netip.AddrPort][]*connection{}, open: map[netip.AddrPort]int{},
+		idle: map[netip.AddrPort][]*connection{}, open: map[netip.AddrPort]int{}, closedAt: map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -85,6 +90,7 @@
 func (p *Pool) Sweep(now time.Time) {
 	var expired []*connection
 	p.mu.Lock()
+	maps.DeleteFunc(p.closedAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > closedTTL })
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
@@ -105,6 +111,37 @@
 	}
 }
 
+// closedTTL is how long it is known that an endpoint closed idle connections.
+const closedTTL = 10 * time.Second
+
+// HasClosed reports whether the endpoint at an address has closed an idle connection since a time
+// and kept none that was open then. It removes the closed ones.
+func (p *Pool) HasClosed(address netip.AddrPort, since time.Time) bool {
+	var ended []*connection
+	isOpen := false
+	p.mu.Lock()
+	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *connection) bool {
+		if isReusable(c.socket) {
+			isOpen = isOpen || c.openedAt.Before(since)
+			return false
+		}
+		ended = append(ended, c)
+		return true
+	})
+	if len(p.idle[address]) == 0 {
+		delete(p.idle, address)
+	}
+	if len(ended) > 0 {
+		p.closedAt[address] = p.Now()
+	}
+	hasClosed := !isOpen && p.closedAt[address].After(since)
+	p.mu.Unlock()
+	for _, c := range ended {
+		c.close()
+	}
+	return hasClosed
+}
+
 // Close closes all idle connections. Connections in use are closed after their exchange.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -186,6 +223,11 @@
 		if c == nil || (now.Before(c.usableUntil) && isReusable(c.socket)) {
 			return c
 		}
+		if now.Before(c.usableUntil) {
+			p.mu.Lock()
+			p.closedAt[address] = now
+			p.mu.Unlock()
+		}
 		c.close()
 	}
 }
@@ -215,7 +257,7 @@
 	p.opened++
 	p.mu.Unlock()
 	bounded := &boundedReader{source: socket}
-	return &connection{pool: p, address: address, socket: socket, bounded: bounded, reader: bufio.NewReader(bounded)}, nil
+	return &connection{pool: p, address: address, socket: socket, bounded: bounded, reader: bufio.NewReader(bounded), openedAt: p.Now()}, nil
 }
 
 // popIdle removes and returns the idle connection that was used last and has not carried an
--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -107,10 +107,11 @@
 	return poison.NewScope(u.endpoint.Service, string(u.stage))
 }
 
-// recordCompletion records that the endpoint survived the request.
+// recordCompletion records that the endpoint survived the request until its last byte.
 func (u run) recordCompletion() {
 	u.recordSurvival()
 	r := u.relay
+	r.watchCompleted(u)
 	for i, crashes := range u.knownCrashes {
 		if len(crashes) > 0 {
 			r.config.BroadcastCrashRecord(r.config.Poison.RecordSurvival(r.config.Now(), u.fingerprints[i], crashes))
--- a/pkg/relay/crash_fuzz_test.go
+++ b/pkg/relay/crash_fuzz_test.go
@@ -91,8 +91,14 @@
 	// period is the number of runs of the request of which one crashes the server. It responds
 	// to the others completely.
 	period, runs int
+	// respondsFirst is true if it responds completely and crashes afterResponseDelay later.
+	respondsFirst bool
+	crashedAt     time.Time
 }
 
+// afterResponseDelay is the time between a complete response and the crash that follows it.
+const afterResponseDelay = 5 * time.Millisecond
+
 func newCrashSimulation(ctx context.Context, seed uint64) *crashSimulation {
 	w := &crashSimulation{random: rand.New(rand.NewPCG(seed, 11)), entries: map[string]store.Entry{}, context: ctx, start: time.Now()}
 	w.write("config", []byte("1"))
@@ -137,7 +143,7 @@
 			Send: func(ctx context.Context, e directory.Endpoint, c *relay.Call, _ relay.SendOptions) (*relay.Response, error) {
 				return w.send(ctx, hostCtx, h, e, c)
 			},
-			Probe: w.probe, Check: w.check,
+			Probe: w.probe, Check: w.check, HasClosed: w.hasClosed,
 		},
 	})
 	w.mu.Lock()
@@ -260,6 +266,14 @@
 	return ctx.Err()
 }
 
+// hasClosed reports whether a server has crashed and closed its connections since a time.
+func (w *crashSimulation) hasClosed(e directory.Endpoint, since time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.server(e.Name)
+	return s.failureMode == "close" && s.crashedAt.After(since)
+}
+
 // send simulates a request to a server and its response. It fails if the host's incarnation
 // has ended, which cancels hostCtx.
 func (w *crashSimulation) send(ctx, hostCtx context.Context, h *crashHost, e directory.Endpoint, c *relay.Call) (*relay.Response, error) {
@@ -289,6 +303,20 @@
 		w.mu.Unlock()
 		return &relay.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("answer"))}, nil
 	}
+	if s.respondsFirst && s.failureMode == "close" {
+		w.countLateRetry(now, h)
+		w.mu.Unlock()
+		w.work.Go(func() {
+			time.Sleep(afterResponseDelay)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if !time.Now().Before(s.downUntil) {
+				w.crash(time.Now(), h, s)
+			}
+		})
+		return &relay.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("answer"))}, nil
+	}
+	w.countLateRetry(now, h)
 	w.crash(now, h, s)
 	mode := s.failureMode
 	w.mu.Unlock()
@@ -305,16 +333,15 @@
 	}
 }
 
-// crash crashes a server, and counts the send if it is a late retry. mu must be held.
+// crash crashes a server. mu must be held.
 func (w *crashSimulation) crash(now time.Time, h *crashHost, s *crashServer) {
 	w.trace = append(w.trace, fmt.Sprintf("%v %s crashes %s by %s, down %v, crash score %d", now.Sub(w.start), h.name, s.name, s.failureMode, s.nextDowntime, h.register.CrashScore(now, crashingRequest)))
-	w.countLateRetry(now, h)
 	// The host detects a silent crash when it reads the next incarnation of the server.
 	h.crashKnownAt = now.Add(s.nextDowntime + readInterval)
 	if w.crashes++; w.crashes == 3 {
 		w.thirdCrashAt = now
 	}
-	s.downUntil = now.Add(s.nextDowntime)
+	s.crashedAt, s.downUntil = now, now.Add(s.nextDowntime)
 	downtime := s.nextDowntime
 	w.work.Go(func() {
 		time.Sleep(downtime)
@@ -360,7 +387,7 @@
 
 func drawCrashAction(t *rapid.T) crashAction {
 	return crashAction{
-		Kind:   rapid.SampledFrom([]string{"call", "call", "call", "call", "wait", "wait", "close", "silence", "down", "cut", "kill", "kill all", "leave", "stay", "partial"}).Draw(t, "kind"),
+		Kind:   rapid.SampledFrom([]string{"call", "call", "call", "call", "wait", "wait", "close", "silence", "down", "cut", "kill", "kill all", "leave", "stay", "partial", "respond first"}).Draw(t, "kind"),
 		Host:   rapid.IntRange(0, 2).Draw(t, "host"),
 		Server: rapid.IntRange(0, 2).Draw(t, "server"),
 		For:    time.Duration(rapid.IntRange(1000, 5000).Draw(t, "ms")) * time.Millisecond,
@@ -395,6 +422,8 @@
 			s.nextDowntime = a.For
 		case "partial":
 			s.period = 1 + a.Server
+		case "respond first":
+			s.respondsFirst = !s.respondsFirst
 		case "leave", "stay":
 			w.callerTimeout = 0
 			if a.Kind == "leave" {
--- a/pkg/relay/hedge_test.go
+++ b/pkg/relay/hedge_test.go
@@ -88,7 +88,7 @@
 					return respond(c.status, c.notRun, &countedBody{Reader: strings.NewReader("z")})
 				}
 				r := relay.New(relay.Config{
-					Host: "edge", State: func() *directory.State { return state }, IsStoreCurrent: storeIsCurrent, Transport: relay.Transport{Send: send, Probe: probeSucceeds},
+					Host: "edge", State: func() *directory.State { return state }, IsStoreCurrent: storeIsCurrent, Transport: relay.Transport{Send: send, Probe: probeSucceeds, HasClosed: closesNoConnection},
 					Poison: poison.NewRegister(), Parts: poison.NewPartRegister(), Limits: newGate(), Holdoffs: holdoff.NewRegister(), BroadcastCrashRecord: func(poison.CrashRecord) {}, RecordInterruptedRun: func(relay.Stage, poison.Verdict) {}, Daemons: func() int { return 1 }, AcquireRetry: denyRetry,
 					RetryBudget: relay.RetryBudget{Share: 0.2, Slack: 100, Window: 10 * time.Second}, Now: time.Now, Log: logr.Discard(), Record: func(relay.CallStats) {},
 				})
--- a/pkg/relay/interrupted.go
+++ b/pkg/relay/interrupted.go
@@ -122,12 +122,12 @@
 }
 
 // add stores an interrupted run. At the limit it reports false.
-func (i *interruptedRuns) add(now time.Time, u run) bool {
+func (i *interruptedRuns) add(endedAt time.Time, u run) bool {
 	if i.count >= maxInterruptedRuns {
 		return false
 	}
 	key := incarnationOf(u.endpoint)
-	i.byEndpoint[key] = append(i.byEndpoint[key], interruptedRun{run: u, interruptedAt: now})
+	i.byEndpoint[key] = append(i.byEndpoint[key], interruptedRun{run: u, interruptedAt: endedAt})
 	i.count++
 	return true
 }
@@ -265,9 +265,14 @@
 
 // keepInterrupted stores an interrupted run until it is known whether the endpoint crashed.
 func (u run) keepInterrupted() {
+	u.keepInterruptedAt(u.relay.config.Now())
+}
+
+// keepInterruptedAt stores a run that ended at a time.
+func (u run) keepInterruptedAt(endedAt time.Time) {
 	r := u.relay
 	r.mu.Lock()
-	isStored := r.interrupted.add(r.config.Now(), u)
+	isStored := r.interrupted.add(endedAt, u)
 	r.mu.Unlock()
 	if !isStored {
 		r.config.Log.Info("interrupted run is not stored", u.logFields("limit", maxInterruptedRuns)...)
@@ -311,6 +316,7 @@
 func (r *Relay) CheckInterruptedRuns(now time.Time) {
 	isCurrent := r.config.IsStoreCurrent()
 	if state := r.config.State(); state != nil {
+		r.checkCompletedRuns(now, state)
 		r.detectCrashes(now, state, isCurrent)
 	}
 	r.mu.Lock()
--- a/pkg/relay/interrupted_test.go
+++ b/pkg/relay/interrupted_test.go
@@ -27,28 +27,33 @@
 type interruptedSite struct {
 	relay    *relay.Relay
 	register *poison.Register
+	parts    *poison.PartRegister
 	state    atomic.Pointer[directory.State]
 	// condition is the result of checks, and checks counts them.
 	condition atomic.Int64
 	checks    atomic.Int64
 	// storeFails is true while the store cannot be read.
 	storeFails atomic.Bool
-	// responds is true if the endpoint responds to requests.
-	responds atomic.Bool
-	calls    int
+	// responds is true if the endpoint responds to requests, hasClosed if it has closed its
+	// connections.
+	responds  atomic.Bool
+	hasClosed atomic.Bool
+	calls     int
 }
 
 var interruptedEndpoint = directory.Endpoint{
 	Name: "desk-0", Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Places: 4, Born: time.UnixMilli(1000),
 }
 
+var interruptedPart = poison.NewPart("part")
+
 func newInterruptedSite() *interruptedSite {
-	s := &interruptedSite{register: poison.NewRegister()}
+	s := &interruptedSite{register: poison.NewRegister(), parts: poison.NewPartRegister()}
 	s.setEndpoints(interruptedEndpoint)
 	s.relay = relay.New(relay.Config{
 		Host: "edge", State: s.state.Load, IsStoreCurrent: func() bool { return !s.storeFails.Load() },
-		Poison: s.register, Parts: poison.NewPartRegister(), Limits: newGate(), Holdoffs: holdoff.NewRegister(),
-		BroadcastCrashRecord: func(poison.CrashRecord) {}, RecordInterruptedRun: func(relay.Stage, poison.Verdict) {},
+		Poison: s.register, Parts: s.parts, Limits: newGate(), Holdoffs: holdoff.NewRegister(),
+		BroadcastCrashRecord: func(poison.CrashRecord) {}, BroadcastPartRecord: func(poison.PartRecord) {}, RecordInterruptedRun: func(relay.Stage, poison.Verdict) {},
 		Record: func(relay.CallStats) {}, Daemons: func() int { return 1 }, AcquireRetry: denyRetry,
 		RetryBudget: relay.RetryBudget{Share: 1, Slack: 1000, Window: 10 * time.Second}, Now: time.Now, Log: logr.Discard(),
 		Transport: relay.Transport{
@@ -59,7 +64,7 @@
 				<-ctx.Done()
 				return nil, errors.Newf("no response: %w", connection.ErrBroken)
 			},
-			Probe: probeSucceeds,
+			Probe: probeSucceeds, HasClosed: func(directory.Endpoint, time.Time) bool { return s.hasClosed.Load() },
 			Check: func(ctx context.Context, _ directory.Endpoint) relay.Condition {
 				s.checks.Add(1)
 				condition := relay.Condition(s.condition.Load())
@@ -92,7 +97,7 @@
 	s.calls++
 	_ = s.relay.Serve(ctx, &relay.Call{
 		ID: strconv.Itoa(s.calls), Caller: "foreman", Method: http.MethodPost, Target: "/x", Path: "/x", Host: "h", Body: []byte(body),
-		Arrival: time.Now(), LastEvent: relay.NoEvent,
+		Arrival: time.Now(), LastEvent: relay.NoEvent, Parts: []poison.Part{interruptedPart},
 	}, relay.NewResponseWriter(httptest.NewRecorder(), time.Now))
 	time.Sleep(time.Millisecond)
 }
@@ -313,3 +318,44 @@
 		})
 	}
 }
+
+// TestCrashAfterACompleteResponseCounts lets the endpoint respond and then shows what has become of
+// it. Without a sign of a crash it is not checked.
+func TestCrashAfterACompleteResponseCounts(t *testing.T) {
+	reborn, leaving := interruptedEndpoint, interruptedEndpoint
+	reborn.Born = time.UnixMilli(5000)
+	leaving.Leaving = true
+	for name, c := range map[string]struct {
+		hasClosed bool
+		condition relay.Condition
+		endpoints []directory.Endpoint
+		crashed   bool
+		checks    int
+	}{
+		"keeps its connections": {endpoints: []directory.Endpoint{interruptedEndpoint}, condition: relay.ConditionGone},
+		"new incarnation":       {endpoints: []directory.Endpoint{reborn}, condition: relay.ConditionReborn, crashed: true},
+		"closes and is gone":    {endpoints: []directory.Endpoint{interruptedEndpoint}, hasClosed: true, condition: relay.ConditionGone, crashed: true, checks: 1},
+		"closes and runs":       {endpoints: []directory.Endpoint{interruptedEndpoint}, hasClosed: true, condition: relay.ConditionRunning, checks: 1},
+		"closes and leaves":     {endpoints: []directory.Endpoint{leaving}, hasClosed: true, condition: relay.ConditionGone},
+		"closes and has left":   {hasClosed: true, condition: relay.ConditionGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtual.Run(t, func(t *testing.T) {
+				s := newInterruptedSite()
+				s.responds.Store(true)
+				s.call("interrupted")
+				s.condition.Store(int64(c.condition))
+				s.hasClosed.Store(c.hasClosed)
+				s.setEndpoints(c.endpoints...)
+				s.wait(3 * time.Second)
+				expected := 0
+				if c.crashed {
+					expected = 1
+				}
+				require.Equal(t, expected, s.crashScore())
+				require.Equal(t, expected, s.parts.Evidence(time.Now(), interruptedPart).Crashes)
+				require.EqualValues(t, c.checks, s.checks.Load())
+			})
+		})
+	}
+}
--- a/pkg/relay/main_test.go
+++ b/pkg/relay/main_test.go
@@ -22,6 +22,9 @@
 // probeSucceeds is a Transport.Probe that finds every endpoint reachable.
 func probeSucceeds(context.Context, directory.Endpoint) error { return nil }
 
+// closesNoConnection is a Transport.HasClosed of endpoints that keep their connections.
+func closesNoConnection(directory.Endpoint, time.Time) bool { return false }
+
 // storeIsCurrent is a Config.IsStoreCurrent of a host that reaches the store.
 func storeIsCurrent() bool { return true }
 
--- a/pkg/relay/notice_fuzz_test.go
+++ b/pkg/relay/notice_fuzz_test.go
@@ -138,7 +138,7 @@
 		Record: func(relay.CallStats) {},
 		Transport: relay.Transport{Send: func(ctx context.Context, e directory.Endpoint, c *relay.Call, _ relay.SendOptions) (*relay.Response, error) {
 			return w.send(ctx, h, e, c)
-		}, Probe: probeSucceeds},
+		}, Probe: probeSucceeds, HasClosed: closesNoConnection},
 	})
 	h.entries["config"] = store.Entry{Key: "config", Value: []byte("1"), Revision: 1}
 }
--- a/pkg/relay/plain_fuzz_test.go
+++ b/pkg/relay/plain_fuzz_test.go
@@ -149,7 +149,7 @@
 		virtual.Run(t, func(*testing.T) {
 			state := newPlainState(kind, attempts)
 			r := relay.New(relay.Config{
-				Host: "edge", State: func() *directory.State { return state }, IsStoreCurrent: storeIsCurrent, Transport: relay.Transport{Send: counter.send(planned), Probe: probeSucceeds},
+				Host: "edge", State: func() *directory.State { return state }, IsStoreCurrent: storeIsCurrent, Transport: relay.Transport{Send: counter.send(planned), Probe: probeSucceeds, HasClosed: closesNoConnection},
 				Poison: poison.NewRegister(), Parts: poison.NewPartRegister(), Limits: newGate(), Holdoffs: holdoff.NewRegister(), BroadcastCrashRecord: func(poison.CrashRecord) {}, RecordInterruptedRun: func(relay.Stage, poison.Verdict) {}, Daemons: func() int { return 1 }, AcquireRetry: denyRetry,
 				RetryBudget: relay.RetryBudget{Share: 0.2, Slack: float64(slack), Window: 10 * time.Second}, Now: time.Now, Log: logr.Discard(), Record: func(relay.CallStats) {},
 			})
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -118,6 +118,9 @@
 	Probe func(ctx context.Context, endpoint directory.Endpoint) error
 	// Check returns the condition of an endpoint. It uses a new connection.
 	Check func(ctx context.Context, endpoint directory.Endpoint) Condition
+	// HasClosed reports whether an endpoint has closed a connection since a time and kept none
+	// that was open then.
+	HasClosed func(endpoint directory.Endpoint, since time.Time) bool
 	// Free notifies an endpoint that a KV cache will not be fetched.
 	Free func(ctx context.Context, handle Handle) error
 }
@@ -193,6 +196,8 @@
 	localBudgets map[string]*retry.LocalBudget
 	// interrupted contains the runs whose endpoint may have crashed undetected.
 	interrupted *interruptedRuns
+	// completed contains the runs that have just completed.
+	completed *completedRuns
 	// checkSlots limits the checks of endpoints in progress.
 	checkSlots chan struct{}
 }
@@ -201,7 +206,7 @@
 func New(config Config) *Relay {
 	return &Relay{
 		config: config, startTime: config.Now(), balancer: balance.New(), localBudgets: map[string]*retry.LocalBudget{},
-		drain: drain{byService: map[string]*durations{}}, interrupted: newInterruptedRuns(), checkSlots: make(chan struct{}, maxConcurrentChecks),
+		drain: drain{byService: map[string]*durations{}}, interrupted: newInterruptedRuns(), completed: newCompletedRuns(), checkSlots: make(chan struct{}, maxConcurrentChecks),
 	}
 }
 
