Do not take a new start time for a crash after a response

Callers saw: sound requests that are alike were rejected as crashing ones where the store gives another start of each server at each read.

Only closed connections make a completed run one that may have crashed its endpoint; the start time decides afterwards, as for interrupted runs. A crash closes the connections too.

--- a/pkg/relay/completed.go
+++ b/pkg/relay/completed.go
@@ -65,9 +65,9 @@
 }
 
 // checkCompletedRuns keeps the completed runs whose endpoints may have crashed since, until it is
-// known whether they did. Those are the endpoints that have a new incarnation or have closed their
-// connections. An endpoint that leaves closes them too, and the entry of one that crashed does not
-// expire so soon.
+// known whether they did. Those are the endpoints that have closed their connections. An endpoint
+// that leaves closes them too. A new start time alone does not show a crash, as an entry may be
+// rewritten, and a crash closes the connections as well.
 func (r *Relay) checkCompletedRuns(now time.Time, state *directory.State) {
 	r.mu.Lock()
 	due := r.completed.takeDue(now)
@@ -76,14 +76,10 @@
 		for _, c := range runs {
 			endpoint := c.run.endpoint
 			current, ok := state.Endpoints[endpoint.Name]
-			if !ok || current.Leaving {
+			if !ok || current.Leaving || !r.config.Transport.HasClosed(endpoint, c.completedAt) {
 				continue
 			}
-			isReplaced := !current.Born.Equal(endpoint.Born)
-			if !isReplaced && !r.config.Transport.HasClosed(endpoint, c.completedAt) {
-				continue
-			}
-			r.config.Log.Info("endpoint may have crashed after its complete response", c.run.logFields("replaced", isReplaced)...)
+			r.config.Log.Info("endpoint may have crashed after its complete response", c.run.logFields()...)
 			c.run.survived = false
 			c.run.keepInterruptedAt(c.completedAt)
 		}
