Show streams joined from two versions of the servers' software

Observability that was missing: the version of an endpoint is decoded, and logged with a changed endpoint and with granted places, beside the attempt that a call resumes.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -74,6 +74,8 @@
 	// Places is the number of requests that it runs concurrently.
 	Places  int
 	Leaving bool
+	// Version is that of its software. A stream goes on only at the version that began it.
+	Version string
 	// Born is the start time of this incarnation, zero if it is unknown.
 	Born time.Time
 }
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -207,7 +207,7 @@
 		return false
 	}
 	d.log.Info("endpoint was added or changed", "endpoint", name, "service", endpoint.Service, "address", endpoint.Address.String(),
-		"role", endpoint.Role, "leaving", endpoint.Leaving, "revision", entry.Revision.String())
+		"role", endpoint.Role, "version", endpoint.Version, "leaving", endpoint.Leaving, "revision", entry.Revision.String())
 	return true
 }
 
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -149,7 +149,7 @@
 	}
 	r.config.Log.Info("places are granted", "request_id", j.call.ID, "request", request.ID.String(), "prefill", reservation.Prefill.Name,
 		"decode", reservation.Decode.Name, "waited_ms", reservation.GrantedAt.Sub(now).Milliseconds(), "owner", reservation.Owner,
-		"prompt_tokens", j.call.PromptTokens, "output_tokens", j.call.OutputTokens, "expected_tokens", j.call.ExpectedTokens)
+		"version", j.state.Endpoints[reservation.Decode.Name].Version, "resumes", j.call.Resumes, "last_event", m.stream.lastEvent, "prompt_tokens", j.call.PromptTokens, "output_tokens", j.call.OutputTokens, "expected_tokens", j.call.ExpectedTokens)
 	outcome, err := m.runStages(ctx, reservation, request.Suspect)
 	reservation.Done(outcome)
 	r.config.Log.Info("places are released", "request_id", j.call.ID, "failed_endpoint", outcome.FailedEndpoint, "busy", outcome.Busy,
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -68,6 +68,9 @@
 	// LastEvent is the last event of an earlier response that the caller has received, or
 	// NoEvent.
 	LastEvent int64
+	// Resumes is the ID of the attempt that brought the first event of the stream, if LastEvent is
+	// set. It is empty if the caller does not name it.
+	Resumes string
 }
 
 // NoEvent is the position before the first event of a stream.
