Let streams go on only at the software version that began them

Callers saw streams joined from two versions of the servers' software, with nothing in the answer to show it: within one answer, and when they took a stream up at any host. Cause: no code read the version of a server or the attempt that a call resumes, and nothing about a stream outlived its host.

From the first event on, owners are asked for places at the stream's version, by an offer of its own kind, and a version without a server is rejected at once. The version is written to the store under the caller's attempt beside the prefill, before the first event is forwarded, and read when the stream is taken up. What is not known is not joined: 503 with Retry-After, unless the host has seen one version alone for twice the route's timeout.

--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -26,6 +26,7 @@
 	"github.com/turmerictide/turmerictide/pkg/link"
 	"github.com/turmerictide/turmerictide/pkg/member"
 	"github.com/turmerictide/turmerictide/pkg/metric"
+	"github.com/turmerictide/turmerictide/pkg/origin"
 	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/ratelimit"
 	"github.com/turmerictide/turmerictide/pkg/relay"
@@ -53,6 +54,7 @@
 	notices        *relay.NoticeHandler
 	retries        *retry.Pool
 	crashRecords   *poison.Keeper
+	origins        *origin.Keeper
 	relay          *relay.Relay
 	orders         *orders
 	moves          moveEntries
@@ -102,10 +104,12 @@
 	d.directory = directory.New(platform.Format, d.stateChanged, now, log.WithName("directory"))
 	d.registration = member.NewRegistration(metadata, d.self, log.WithName("member"))
 	d.mirror = store.NewMirror(metadata, "", d.storeChanged, now, log.WithName("store"))
+	d.mirror.Ignore(origin.RecordsPrefix)
 	d.crashRecords = poison.NewKeeper(poison.KeeperConfig{
 		Store: metadata, Host: d.self.Host, Register: d.poison, OnRecord: d.applyCrashRecord, Now: now, Log: log.WithName("poison"),
 		Parts: d.parts, OnPartRecord: func(record poison.PartRecord, origin string) { d.applyPartRecord(record, origin) },
 	})
+	d.origins = origin.NewKeeper(origin.KeeperConfig{Store: metadata, Now: now, Log: log.WithName("origin")})
 	d.pool = connection.NewPool(d.connectionLimit, now)
 	d.holdoffs = holdoff.NewRegister()
 	d.limits = ratelimit.NewRegister()
@@ -148,7 +152,7 @@
 	d.metrics = metric.NewSet(append(d.peers.gauges(), d.gauges()...))
 	d.relay = relay.New(relay.Config{
 		Host: d.self.Host, AvailabilityZone: d.self.AvailabilityZone,
-		State: d.directory.Current, IsStoreCurrent: func() bool { return !d.mirror.IsFailing() }, Client: d.client, Transport: endpoints.Transport(),
+		State: d.directory.Current, IsStoreCurrent: func() bool { return !d.mirror.IsFailing() }, Client: d.client, Transport: endpoints.Transport(), Origins: d.origins,
 		Poison: d.poison, BroadcastCrashRecord: d.publishCrashRecord, RecordInterruptedRun: d.metrics.RecordInterruptedRun, Holdoffs: d.holdoffs,
 		Parts: d.parts, BroadcastPartRecord: d.broadcastPartRecord, StorePart: d.crashRecords.EnqueuePart, Limits: d.limitGate,
 		Daemons:     d.countPeakDaemons,
@@ -404,7 +408,7 @@
 func (d *PlatformDaemon) newSupervisor() *suture.Supervisor {
 	return newTree(d.log, []branch{
 		{"links", []suture.Service{serviceFunc(d.runRouter)}},
-		{"members", []suture.Service{d.members, d.registration, d.crashRecords}},
+		{"members", []suture.Service{d.members, d.registration, d.crashRecords, d.origins}},
 		{"state", []suture.Service{d.mirror, serviceFunc(d.housekeep)}},
 		{"dispatch", []suture.Service{d.dispatcher, d.client}},
 		{"listeners", []suture.Service{d.caller, d.ready, d.metric, d.peer}},
--- a/pkg/dispatch/client.go
+++ b/pkg/dispatch/client.go
@@ -112,6 +112,11 @@
 	s.endpoints[hash] = endpoint
 }
 
+// decodesAt reports whether the shard has a decode endpoint with a software version, "" for any.
+func (s routedShard) decodesAt(version string) bool {
+	return version == "" || slices.ContainsFunc(s.shard.Decode, func(e ticket.Endpoint) bool { return e.Version == version && !e.Leaving })
+}
+
 // NewClient returns a Client without shards. Refresh sets them.
 func NewClient(config ClientConfig) *Client {
 	return &Client{
@@ -279,14 +284,14 @@
 	return shard.Owner(s.key.String(), c.config.EligibleOwners(hosts))
 }
 
-// chooseShard selects two random shards of a zone or of all zones, and returns the one
-// under less pressure.
-func (c *Client) chooseShard(service, zone string) (routedShard, bool) {
+// chooseShard selects two random shards of a zone or of all zones that have a software version, and
+// returns the one under less pressure.
+func (c *Client) chooseShard(service, zone, version string) (routedShard, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var candidates []routedShard
 	for _, s := range c.shards[service] {
-		if s.key.AvailabilityZone == zone || s.key.AvailabilityZone == shard.AllZones {
+		if (s.key.AvailabilityZone == zone || s.key.AvailabilityZone == shard.AllZones) && s.decodesAt(version) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -301,15 +306,15 @@
 	return first, true
 }
 
-// chooseOtherZoneShard returns the shard under the least pressure in other zones, if that
-// is below otherZonePressureLimit.
-func (c *Client) chooseOtherZoneShard(service string) (routedShard, bool) {
+// chooseOtherZoneShard returns the shard under the least pressure in other zones that has a software
+// version, if that pressure is below otherZonePressureLimit.
+func (c *Client) chooseOtherZoneShard(service, version string) (routedShard, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best routedShard
 	found := false
 	for _, s := range c.shards[service] {
-		if s.key.AvailabilityZone == c.config.AvailabilityZone || s.key.AvailabilityZone == shard.AllZones || c.pressure[s.id] >= otherZonePressureLimit {
+		if s.key.AvailabilityZone == c.config.AvailabilityZone || s.key.AvailabilityZone == shard.AllZones || c.pressure[s.id] >= otherZonePressureLimit || !s.decodesAt(version) {
 			continue
 		}
 		if !found || c.pressure[s.id] < c.pressure[best.id] {
--- a/pkg/dispatch/client_offer.go
+++ b/pkg/dispatch/client_offer.go
@@ -34,7 +34,7 @@
 // the request or has no shard, Acquire tries another zone once. Errors are *RejectedError,
 // ErrNoShard, or the cause of ctx.
 func (c *Client) Acquire(ctx context.Context, service string, request Request) (*Reservation, error) {
-	own, ok := c.chooseShard(service, c.config.AvailabilityZone)
+	own, ok := c.chooseShard(service, c.config.AvailabilityZone, request.Version)
 	rejection := ErrNoShard
 	if ok {
 		reservation, err := c.acquireFromShard(ctx, own, request)
@@ -44,7 +44,7 @@
 		}
 		rejection = err
 	}
-	other, ok := c.chooseOtherZoneShard(service)
+	other, ok := c.chooseOtherZoneShard(service, request.Version)
 	if !ok {
 		return nil, rejection
 	}
@@ -80,7 +80,7 @@
 			// owner's last grant.
 			c.reportHolds(owner, s.id)
 		}
-		c.publish(ctx, owner, kindOffer, s.id, encodeRequest(request, c.config.Now()))
+		c.publishOffer(ctx, owner, s.id, request)
 		result, err := c.awaitDecision(ctx, o)
 		switch {
 		case err != nil:
@@ -105,6 +105,15 @@
 	}
 }
 
+func (c *Client) publishOffer(ctx context.Context, owner string, id ShardID, request Request) {
+	wire := encodeRequest(request, c.config.Now())
+	if request.Version != "" {
+		c.publish(ctx, owner, kindVersionOffer, id, wireVersionOffer{Request: wire, Version: request.Version})
+		return
+	}
+	c.publish(ctx, owner, kindOffer, id, wire)
+}
+
 // waitResult is the result of a wait for an owner. If neither isDecided nor isSilent is set,
 // the offer is to be sent again.
 type waitResult struct {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -74,6 +74,8 @@
 	Cached bool
 	// Zone is the availability zone of the front. Its endpoints are preferred.
 	Zone string
+	// Version is the software version that the decode endpoint must have, "" for any.
+	Version string
 }
 
 // excludes reports whether the request must not go to an endpoint.
@@ -81,6 +83,11 @@
 	return endpoint == r.Exclude || (len(r.Barred) > 0 && slices.Contains(r.Barred, HashEndpoint(endpoint)))
 }
 
+// excludesDecode reports whether the request must not be decoded at an endpoint.
+func (r Request) excludesDecode(e ticket.Endpoint) bool {
+	return (r.Version != "" && r.Version != e.Version) || r.excludes(e.Name)
+}
+
 // computesPrompt reports whether a decode endpoint must compute the prompt.
 func (r Request) computesPrompt() bool {
 	return r.DecodeOnly && !r.Cached
--- a/pkg/dispatch/dispatcher_messages.go
+++ b/pkg/dispatch/dispatcher_messages.go
@@ -77,7 +77,17 @@
 	o := d.ensureOwned(now, envelope.Shard)
 	switch envelope.Kind {
 	case kindOffer:
-		d.handleOffer(now, o, m, envelope.Body)
+		var wire wireRequest
+		if err := link.Decode(envelope.Body, &wire); err == nil {
+			d.handleOffer(now, o, m, decodeRequest(wire, link.Host(m), now))
+		}
+	case kindVersionOffer:
+		var wire wireVersionOffer
+		if err := link.Decode(envelope.Body, &wire); err == nil {
+			request := decodeRequest(wire.Request, link.Host(m), now)
+			request.Version = wire.Version
+			d.handleOffer(now, o, m, request)
+		}
 	case kindHolds:
 		d.handleHolds(now, o, link.Host(m), envelope.Body)
 	case kindUnknownHolds:
@@ -86,12 +96,7 @@
 	return nil
 }
 
-func (d *Dispatcher) handleOffer(now time.Time, o *ownedShard, m *message.Message, body []byte) {
-	var wire wireRequest
-	if err := link.Decode(body, &wire); err != nil {
-		return
-	}
-	request := decodeRequest(wire, link.Host(m), now)
+func (d *Dispatcher) handleOffer(now time.Time, o *ownedShard, m *message.Message, request Request) {
 	d.queryHolds(o, request.Front)
 	request.Zone = d.config.ZoneOf(request.Front)
 	d.recordContact(now, request.ID)
--- a/pkg/dispatch/local.go
+++ b/pkg/dispatch/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/turmerictide/turmerictide/pkg/shard"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
@@ -35,7 +36,7 @@
 		planner = NewPlanner(s.shard.Service, FencingNumber(now.UnixMilli())<<fencingSequenceBits)
 		c.localPlanners[s.id] = planner
 	}
-	planner.SetEndpoints(frontShare(s.shard, c.config.AvailabilityZone, len(c.config.Hosts(c.config.AvailabilityZone)), len(c.config.Hosts(""))))
+	planner.SetEndpoints(frontShare(s.shard, request.Version, c.config.AvailabilityZone, len(c.config.Hosts(c.config.AvailabilityZone)), len(c.config.Hosts(""))))
 	decisions := planner.Offer(now, request, nil)
 	switch {
 	case len(decisions) == 0:
@@ -78,11 +79,12 @@
 
 // frontShare returns a shard with the places that one front may grant locally. For each
 // role, the places of the front's zone are divided among the fronts of the zone. When the
-// zone has no endpoint of the role, all places are divided among all fronts.
-func frontShare(s shard.Shard, zone string, zoneFronts, fronts int) shard.Shard {
+// zone has no endpoint of the role, or none that decodes at a version, all places are divided among
+// all fronts.
+func frontShare(s shard.Shard, version, zone string, zoneFronts, fronts int) shard.Shard {
 	result := shard.Shard{Key: s.Key, Service: s.Service}
 	result.Decode = divideEndpoints(s.Decode, zone, zoneFronts)
-	if len(result.Decode) == 0 {
+	if !slices.ContainsFunc(result.Decode, func(e ticket.Endpoint) bool { return version == "" || e.Version == version }) {
 		result.Decode = divideEndpoints(s.Decode, "", fronts)
 	}
 	result.Prefill = divideEndpoints(s.Prefill, zone, zoneFronts)
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -245,7 +245,7 @@
 	for _, e := range p.decode {
 		barred := (e.savedFor != nil && e.savedFor != w) || (w.request.Suspect && e.suspects > 0) ||
 			(w.request.computesPrompt() && e.prompts > 0)
-		if barred || e.freePlaces() <= 0 || !e.isOpen(now) || w.request.excludes(e.endpoint.Name) {
+		if barred || e.freePlaces() <= 0 || !e.isOpen(now) || w.request.excludesDecode(e.endpoint) {
 			continue
 		}
 		free, fits := p.freeShare(now, e, w.request)
@@ -369,7 +369,7 @@
 		if e.savedFor == w || (p.service.MemoryGrows && e.savedFor != nil) {
 			return
 		}
-		if !e.isOpen(now) || e.savedFor != nil {
+		if !e.isOpen(now) || e.savedFor != nil || w.request.excludesDecode(e.endpoint) {
 			continue
 		}
 		if _, fits := p.freeShare(now, e, w.request); fits {
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -63,7 +63,7 @@
 	hasDecode, hasMemory := false, false
 	pieces := memoryPieces(p.service, request)
 	for _, e := range p.decode {
-		if !e.isUsable() || !e.health.cooldownUntil.Before(latest) || request.excludes(e.endpoint.Name) {
+		if !e.isUsable() || !e.health.cooldownUntil.Before(latest) || request.excludesDecode(e.endpoint) {
 			continue
 		}
 		hasDecode = true
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -44,8 +44,8 @@
 
 type wireKind uint8
 
-// The kinds of messages. Those up to kindUnknownHolds go to an owner, the others to a
-// front.
+// The kinds of messages. Those up to kindUnknownHolds and kindVersionOffer go to an owner, the
+// others to a front.
 const (
 	kindOffer wireKind = iota
 	kindPrefilled
@@ -60,6 +60,7 @@
 	kindAudit
 	kindQueued
 	kindSearch
+	kindVersionOffer
 )
 
 // wireMessage is the envelope of all messages.
@@ -85,6 +86,14 @@
 	Rare *wireRare
 }
 
+// wireVersionOffer is the body of kindVersionOffer, an offer that asks for a software version. An
+// owner that does not know this kind does not reply.
+type wireVersionOffer struct {
+	_       struct{} `cbor:",toarray"`
+	Request wireRequest
+	Version string
+}
+
 // wireRare contains the fields that few requests set.
 type wireRare struct {
 	_              struct{} `cbor:",toarray"`
--- /dev/null
+++ b/pkg/origin/keeper.go
@@ -0,0 +1,262 @@
+// Package origin remembers which software version began each stream.
+//
+// A stream may go on only at the version that began it, also when its caller takes it up at another
+// host after all hosts were killed. So the version is written to the platform's store under the
+// caller's attempt before the first event is forwarded. The write runs beside the prefill. A host
+// that serves the rest of a stream reads the record, unless it began the stream itself.
+//
+// A stream without a record can be taken up only while its version is certain for another reason.
+package origin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+const (
+	// RecordsPrefix is the prefix of the store keys of records. ATTEMPT/NUMBER follows, with the
+	// hash of the attempt. A Mirror needs none of them.
+	RecordsPrefix = "turmerictide/origins/"
+	// leaseTTL is the time to live of a lease. A lease is used for new records during the first
+	// half of this time, so a record is kept for at least the other half.
+	leaseTTL = 2 * time.Minute
+	// batchDelay is the time for which records are collected for one write.
+	batchDelay = 10 * time.Millisecond
+	// writeTimeout and readTimeout limit one call to the store.
+	writeTimeout = time.Second
+	readTimeout  = 500 * time.Millisecond
+	// maxPutsPerCommit limits the records of one call to the store.
+	maxPutsPerCommit = 32
+	// maxQueuedWrites limits the records that wait for a write.
+	maxQueuedWrites = 1024
+	// maxRemembered limits the streams whose versions are kept in memory.
+	maxRemembered = 4096
+	// readRate limits the reads of records per second, and readBurst those at once. Callers may
+	// invent any number of attempts.
+	readRate  = 50
+	readBurst = 200
+	// maxVersionBytes limits a version that is read from the store.
+	maxVersionBytes = 256
+)
+
+// errTooManyReads reports that callers name more attempts than the store is read for.
+var errTooManyReads = errors.New("too many attempts are looked up")
+
+// errQueueFull reports that too many records wait for a write.
+var errQueueFull = errors.New("too many records wait for the store")
+
+// KeeperConfig contains the dependencies of a Keeper.
+type KeeperConfig struct {
+	Store *store.Store
+	Now   func() time.Time
+	Log   logr.Logger
+}
+
+// attemptKey identifies an attempt in store keys.
+type attemptKey string
+
+// newAttemptKey hashes the ID of an attempt, which may have any bytes and length.
+func newAttemptKey(attempt string) attemptKey {
+	sum := sha256.Sum256([]byte(attempt))
+	return attemptKey(hex.EncodeToString(sum[:16]))
+}
+
+// Write is the write of a record.
+type Write struct {
+	key     string
+	version string
+	done    chan struct{}
+	err     error
+}
+
+// Done is closed when the store has acknowledged the record, or when it has not.
+func (w *Write) Done() <-chan struct{} {
+	return w.done
+}
+
+// Err returns why the record may not be in the store, nil if it is. It is valid after Done.
+func (w *Write) Err() error {
+	return w.err
+}
+
+func (w *Write) finish(err error) {
+	w.err = err
+	close(w.done)
+}
+
+// Keeper writes and reads the versions of streams. It is safe for concurrent use.
+type Keeper struct {
+	config KeeperConfig
+	done   chan struct{}
+	wake   chan struct{}
+	// lease is the lease of new records, granted at leaseGrantedAt. Only Serve uses it.
+	lease          store.LeaseID
+	leaseGrantedAt time.Time
+
+	mu     sync.Mutex
+	queued []*Write
+	// remembered are the versions of the streams that this host began, and order their attempts,
+	// the oldest first.
+	remembered map[attemptKey]string
+	order      []attemptKey
+	// reads are the reads that are allowed at readsAt.
+	reads   float64
+	readsAt time.Time
+}
+
+// NewKeeper returns a Keeper. Serve must run for it to write.
+func NewKeeper(config KeeperConfig) *Keeper {
+	return &Keeper{config: config, done: make(chan struct{}), wake: make(chan struct{}, 1), remembered: map[attemptKey]string{}, reads: readBurst, readsAt: config.Now()}
+}
+
+// Done is closed when Serve has returned.
+func (k *Keeper) Done() <-chan struct{} {
+	return k.done
+}
+
+// Record writes the version at which an attempt is about to begin a stream. number counts the
+// records of the attempt from 0; the last one holds, in whatever order the store does the writes.
+func (k *Keeper) Record(attempt string, number int, version string) *Write {
+	w := &Write{key: RecordsPrefix + string(newAttemptKey(attempt)) + "/" + strconv.Itoa(number), version: version, done: make(chan struct{})}
+	k.mu.Lock()
+	isFull := len(k.queued) >= maxQueuedWrites
+	if !isFull {
+		k.queued = append(k.queued, w)
+	}
+	k.mu.Unlock()
+	if isFull {
+		w.finish(errQueueFull)
+		return w
+	}
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return w
+}
+
+// Remember keeps the version of a stream that this host has begun.
+func (k *Keeper) Remember(attempt, version string) {
+	key := newAttemptKey(attempt)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.remembered[key]; !ok {
+		k.order = append(k.order, key)
+	}
+	k.remembered[key] = version
+	if len(k.order) > maxRemembered {
+		delete(k.remembered, k.order[0])
+		k.order = k.order[1:]
+	}
+}
+
+// Version returns the version at which an attempt began a stream, and whether it is known. The
+// error is that of the store.
+func (k *Keeper) Version(ctx context.Context, attempt string) (string, bool, error) {
+	key := newAttemptKey(attempt)
+	k.mu.Lock()
+	version, ok := k.remembered[key]
+	k.mu.Unlock()
+	if ok {
+		return version, true, nil
+	}
+	if !k.allowRead(k.config.Now()) {
+		return "", false, errTooManyReads
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	prefix := RecordsPrefix + string(key) + "/"
+	listing, err := k.config.Store.List(ctx, prefix)
+	if err != nil {
+		return "", false, errors.Newf("read record of an attempt: %w", err)
+	}
+	last := -1
+	for _, entry := range listing.Entries {
+		number, err := strconv.Atoi(strings.TrimPrefix(entry.Key, prefix))
+		if err != nil || number <= last || len(entry.Value) == 0 || len(entry.Value) > maxVersionBytes {
+			continue
+		}
+		last, version = number, string(entry.Value)
+	}
+	return version, last >= 0, nil
+}
+
+// allowRead reports whether the store may be read at now, and counts the read.
+func (k *Keeper) allowRead(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads = min(k.reads+max(now.Sub(k.readsAt).Seconds(), 0)*readRate, readBurst)
+	k.readsAt = now
+	if k.reads < 1 {
+		return false
+	}
+	k.reads--
+	return true
+}
+
+// Serve writes records until ctx is done.
+func (k *Keeper) Serve(ctx context.Context) error {
+	defer close(k.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-k.wake:
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(batchDelay):
+		}
+		for batch := k.dequeue(); len(batch) > 0; batch = k.dequeue() {
+			err := k.commit(ctx, batch)
+			if err != nil {
+				k.config.Log.Info("versions of streams were not written", "streams", len(batch), "error", err.Error())
+			}
+			for _, w := range batch {
+				w.finish(err)
+			}
+		}
+	}
+}
+
+// dequeue removes the records for one call to the store from the queue.
+func (k *Keeper) dequeue() []*Write {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	batch := k.queued[:min(len(k.queued), maxPutsPerCommit)]
+	k.queued = k.queued[len(batch):]
+	return batch
+}
+
+func (k *Keeper) commit(ctx context.Context, batch []*Write) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	now := k.config.Now()
+	if k.leaseGrantedAt.IsZero() || now.Sub(k.leaseGrantedAt) >= leaseTTL/2 {
+		lease, err := k.config.Store.GrantLease(ctx, leaseTTL)
+		if err != nil {
+			return errors.Newf("grant lease: %w", err)
+		}
+		k.lease, k.leaseGrantedAt = lease, now
+	}
+	puts := make([]store.Put, 0, len(batch))
+	for _, w := range batch {
+		puts = append(puts, store.Put{Key: w.key, Value: []byte(w.version), Lease: k.lease})
+	}
+	if _, err := k.config.Store.Commit(ctx, store.Commit{Puts: puts}); err != nil {
+		k.leaseGrantedAt = time.Time{}
+		return errors.Newf("write versions of streams: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/origin/keeper_test.go
@@ -0,0 +1,170 @@
+package origin_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmerictide/turmerictide/internal/virtual"
+	"github.com/turmerictide/turmerictide/pkg/origin"
+	"github.com/turmerictide/turmerictide/pkg/store"
+)
+
+// scriptedStore keeps records, and counts the calls.
+type scriptedStore struct {
+	entries                map[string]store.Entry
+	grants, commits, lists int
+	largest                int
+	err                    error
+	// delayed are commits that are acknowledged by an error and done later.
+	delayed []store.Commit
+	delays  bool
+}
+
+func (s *scriptedStore) apply(c store.Commit) {
+	for _, put := range c.Puts {
+		s.entries[put.Key] = store.Entry{Key: put.Key, Value: put.Value, Revision: 1}
+	}
+}
+
+func newKeeper(t *testing.T) (*origin.Keeper, *scriptedStore) {
+	s := &scriptedStore{entries: map[string]store.Entry{}}
+	keeper := origin.NewKeeper(origin.KeeperConfig{Now: time.Now, Log: logr.Discard(), Store: &store.Store{
+		GrantLease: func(context.Context, time.Duration) (store.LeaseID, error) {
+			s.grants++
+			return store.LeaseID{Number: int64(s.grants)}, s.err
+		},
+		Commit: func(_ context.Context, c store.Commit) (store.CommitResult, error) {
+			s.commits++
+			s.largest = max(s.largest, len(c.Puts))
+			if s.delays {
+				s.delayed = append(s.delayed, c)
+				return store.CommitResult{}, store.ErrOutcomeUnknown
+			}
+			if s.err == nil {
+				s.apply(c)
+			}
+			return store.CommitResult{Succeeded: s.err == nil}, s.err
+		},
+		List: func(_ context.Context, prefix string) (store.Listing, error) {
+			s.lists++
+			var listing store.Listing
+			for key, entry := range s.entries {
+				if strings.HasPrefix(key, prefix) {
+					listing.Entries = append(listing.Entries, entry)
+				}
+			}
+			return listing, s.err
+		},
+	}})
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { _ = keeper.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-keeper.Done()
+	})
+	return keeper, s
+}
+
+func requireVersion(t *testing.T, keeper *origin.Keeper, attempt, expected string) {
+	t.Helper()
+	version, known, err := keeper.Version(t.Context(), attempt)
+	require.NoError(t, err)
+	require.Equal(t, expected != "", known)
+	require.Equal(t, expected, version)
+}
+
+func TestRecordsOfManyStreamsShareACommit(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		var writes []*origin.Write
+		for i := range 100 {
+			writes = append(writes, keeper.Record(fmt.Sprint("attempt ", i), 0, "v1"))
+		}
+		for _, w := range writes {
+			<-w.Done()
+			require.NoError(t, w.Err())
+		}
+		require.Equal(t, 4, s.commits)
+		require.Equal(t, 32, s.largest)
+		require.Equal(t, 1, s.grants)
+		requireVersion(t, keeper, "attempt 99", "v1")
+		requireVersion(t, keeper, "attempt 9", "v1")
+		requireVersion(t, keeper, "attempt", "")
+		time.Sleep(61 * time.Second)
+		<-keeper.Record("later", 0, "v1").Done()
+		require.Equal(t, 2, s.grants, "a record must be kept for half of the TTL of a lease")
+	})
+}
+
+// TestLastRecordHoldsWhenAnEarlierOneIsWrittenLater lets the store do the first write after the second.
+func TestLastRecordHoldsWhenAnEarlierOneIsWrittenLater(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		s.delays = true
+		first := keeper.Record("attempt", 0, "v1")
+		<-first.Done()
+		require.ErrorIs(t, first.Err(), store.ErrOutcomeUnknown)
+		s.delays = false
+		<-keeper.Record("attempt", 1, "v2").Done()
+		s.apply(s.delayed[0])
+		requireVersion(t, keeper, "attempt", "v2")
+	})
+}
+
+// TestStreamsOfThisHostNeedNoStore remembers more streams than are kept.
+func TestStreamsOfThisHostNeedNoStore(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		for i := range 5000 {
+			keeper.Remember(fmt.Sprint(i), "v1")
+		}
+		keeper.Remember("4999", "v2")
+		s.err = store.ErrUnavailable
+		requireVersion(t, keeper, "4999", "v2")
+		require.Zero(t, s.lists)
+		_, known, err := keeper.Version(t.Context(), "0")
+		require.ErrorIs(t, err, store.ErrUnavailable)
+		require.False(t, known)
+	})
+}
+
+func TestWritesThatFailEndAtOnce(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		s.err = store.ErrUnavailable
+		var writes []*origin.Write
+		for i := range 2000 {
+			writes = append(writes, keeper.Record(fmt.Sprint(i), 0, "v1"))
+		}
+		for _, w := range writes {
+			<-w.Done()
+			require.Error(t, w.Err())
+		}
+		s.err = nil
+		w := keeper.Record("next", 0, "v1")
+		<-w.Done()
+		require.NoError(t, w.Err())
+	})
+}
+
+func TestOddRecordsAreNoVersion(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		<-keeper.Record("attempt", 0, "v1").Done()
+		for _, entry := range slices.Collect(maps.Values(s.entries)) {
+			prefix := strings.TrimSuffix(entry.Key, "0")
+			for suffix, value := range map[string]string{"x": "v7", "": "v7", "1": "", "2": strings.Repeat("v", 300), "-3": "v7"} {
+				s.entries[prefix+suffix] = store.Entry{Key: prefix + suffix, Value: []byte(value), Revision: 1}
+			}
+		}
+		requireVersion(t, keeper, "attempt", "v1")
+	})
+}
--- /dev/null
+++ b/pkg/origin/main_test.go
@@ -0,0 +1,12 @@
+package origin_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/turmerictide/turmerictide/internal/seed"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seed.Run(m))
+}
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -73,3 +73,18 @@
 func (d *Drainer) Accepts(now time.Time, service string, deadline time.Time, isStream bool) bool {
 	return d.drain.accepts(now, service, deadline, isStream)
 }
+
+// VersionHistory is a versionHistory for tests.
+type VersionHistory struct{ history versionHistory }
+
+func NewVersionHistory() *VersionHistory {
+	return &VersionHistory{history: versionHistory{services: map[string]*serviceVersions{}}}
+}
+
+func (v *VersionHistory) Update(now time.Time, state *directory.State) { v.history.update(now, state) }
+
+func (v *VersionHistory) MarkStale(now time.Time) { v.history.staleAt = now }
+
+func (v *VersionHistory) Only(now time.Time, service string, period time.Duration) (string, bool) {
+	return v.history.only(now, service, period)
+}
--- a/pkg/relay/fault.go
+++ b/pkg/relay/fault.go
@@ -28,6 +28,10 @@
 	CauseLeaving Cause = "leaving"
 	// CausePoisoned: calls like this one have crashed the endpoints that ran them.
 	CausePoisoned Cause = "poisoned"
+	// CauseVersionUnknown: the call resumes a stream, and the software version that began it is not
+	// known. CauseVersionGone: no endpoint of that version accepts calls.
+	CauseVersionUnknown Cause = "version_unknown"
+	CauseVersionGone    Cause = "version_gone"
 	// CauseTimeout: the call timed out after an endpoint may have started to run it.
 	CauseTimeout Cause = "timeout"
 	// CauseEndpointFailed: the endpoint that may have run the call sent no response.
@@ -42,7 +46,7 @@
 // may be retried.
 func (c Cause) isNotRun() bool {
 	switch c {
-	case CauseNoState, CauseNoEndpoint, CauseFull, CauseRateLimited, CauseTooLate, CauseLeaving, CausePoisoned:
+	case CauseNoState, CauseNoEndpoint, CauseFull, CauseRateLimited, CauseTooLate, CauseLeaving, CausePoisoned, CauseVersionUnknown, CauseVersionGone:
 		return true
 	}
 	return false
--- a/pkg/relay/interrupted.go
+++ b/pkg/relay/interrupted.go
@@ -320,6 +320,9 @@
 		r.detectCrashes(now, state, isCurrent)
 	}
 	r.mu.Lock()
+	if !isCurrent {
+		r.versions.staleAt = now
+	}
 	due := r.interrupted.dueChecks(now, isCurrent)
 	r.mu.Unlock()
 	for _, endpoint := range due {
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -9,6 +9,7 @@
 	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
+	"github.com/turmerictide/turmerictide/pkg/origin"
 	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
@@ -68,6 +69,11 @@
 	unusableGrants int
 	// excludedEndpoint is the name of the endpoint that has just failed.
 	excludedEndpoint string
+	// record is the last write of the version that begins the stream, recordedVersion, and records
+	// is the number of writes.
+	record          *origin.Write
+	recordedVersion string
+	records         int
 }
 
 // serveModel serves a request to model engines.
@@ -124,18 +130,22 @@
 	if err != nil {
 		return err
 	}
+	if j.version != "" && !servesVersion(r.config.State(), j.service.Name, j.version) {
+		return &Fault{Cause: CauseVersionGone, RetryAfter: versionRetryAfter}
+	}
 	delivered := m.stream.deliveredTokens(j)
 	request := dispatch.Request{
 		ID: r.config.Client.NewRequestID(), Front: r.config.Host, Caller: j.call.Caller, Rank: m.rank,
 		PromptTokens: j.call.PromptTokens + delivered, OutputTokens: max(j.call.OutputTokens-delivered, 1),
 		ExpectedTokens: max(j.call.ExpectedTokens-delivered, 0), Prefixes: j.call.Prefixes,
 		Arrival: j.call.Arrival, Exclude: m.excludedEndpoint, Suspect: verdict == poison.VerdictSuspect,
-		Fingerprint: dispatch.Fingerprint(j.fingerprints[0]), DecodeOnly: m.isDecodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.closedEndpoints(now, j),
+		Fingerprint: dispatch.Fingerprint(j.fingerprints[0]), DecodeOnly: m.isDecodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.closedEndpoints(now, j), Version: j.version,
 	}
 	request.Cached = m.handle.ID != ""
-	if request.DecodeOnly && !request.Cached {
-		// The request may be queued until a decode endpoint computes no other prompt. It
-		// must not delay the other requests of its caller in the meantime.
+	if (request.DecodeOnly && !request.Cached) || request.Version != "" {
+		// The request may be queued until a decode endpoint computes no other prompt, or until
+		// one of its version has room. It must not delay the other requests of its caller in the
+		// meantime.
 		request.Caller += resumedCallerSuffix
 	}
 	if j.sends > 0 {
@@ -218,6 +228,7 @@
 	if _, err := r.checkVerdict(m.job); err != nil {
 		return dispatch.Outcome{}, err
 	}
+	m.recordOrigin(r.config.State().Endpoints[reservation.Decode.Name].Version)
 	urgency := reservation.Grant.Priority
 	if reservation.Prefill.Name != "" {
 		if outcome, err := m.prefill(ctx, reservation, urgency, suspect); err != nil {
@@ -333,6 +344,11 @@
 	if err != nil {
 		return failedOutcome, err
 	}
+	if j.version != "" && endpoint.Version != j.version {
+		m.unusableGrants++
+		return dispatch.Outcome{}, errors.Newf("endpoint %s has version %s: %w", endpoint.Name, endpoint.Version, errNotRun)
+	}
+	m.recordOrigin(endpoint.Version)
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !r.acquireSend(ctx, j) {
@@ -376,6 +392,7 @@
 		run.recordEvent(r.config.Now())
 		reservation.SetOutputTokens(outputTokens())
 	}
+	m.stream.onBegin = func() error { return m.beginStream(sendCtx, endpoint.Version) }
 	err = m.stream.forward(response, r.config.Now, cancelOnStall(cancel))
 	outcome := dispatch.Outcome{OutputTokens: outputTokens()}
 	if err == nil {
--- a/pkg/relay/plain.go
+++ b/pkg/relay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -177,6 +178,9 @@
 // there.
 func (r *Relay) chooseEndpoint(now time.Time, j *job, tried map[string]bool) (directory.Endpoint, bool) {
 	serving := r.config.State().Serving(j.service.Name)
+	if j.version != "" {
+		serving = slices.DeleteFunc(slices.Clone(serving), func(e directory.Endpoint) bool { return e.Version != j.version })
+	}
 	candidates := make([]balance.Candidate, len(serving))
 	for i, e := range serving {
 		candidates[i] = balance.Candidate{
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -31,6 +31,7 @@
 	"github.com/turmerictide/turmerictide/pkg/directory"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
 	"github.com/turmerictide/turmerictide/pkg/holdoff"
+	"github.com/turmerictide/turmerictide/pkg/origin"
 	"github.com/turmerictide/turmerictide/pkg/poison"
 	"github.com/turmerictide/turmerictide/pkg/ratelimit"
 	"github.com/turmerictide/turmerictide/pkg/retry"
@@ -137,7 +138,9 @@
 	IsStoreCurrent func() bool
 	Client         *dispatch.Client
 	Transport      Transport
-	Poison         *poison.Register
+	// Origins contains the software versions that began streams.
+	Origins *origin.Keeper
+	Poison  *poison.Register
 	// Parts determines the parts of prompts that crash endpoints.
 	Parts *poison.PartRegister
 	// BroadcastPartRecord sends a record of parts of prompts to the other daemons.
@@ -201,6 +204,8 @@
 	interrupted *interruptedRuns
 	// completed contains the runs that have just completed.
 	completed *completedRuns
+	// versions contains the software versions that endpoints have had.
+	versions versionHistory
 	// checkSlots limits the checks of endpoints in progress.
 	checkSlots chan struct{}
 }
@@ -210,6 +215,7 @@
 	return &Relay{
 		config: config, startTime: config.Now(), balancer: balance.New(), localBudgets: map[string]*retry.LocalBudget{},
 		drain: drain{byService: map[string]*durations{}}, interrupted: newInterruptedRuns(), completed: newCompletedRuns(), checkSlots: make(chan struct{}, maxConcurrentChecks),
+		versions: versionHistory{services: map[string]*serviceVersions{}},
 	}
 }
 
@@ -239,6 +245,7 @@
 	}
 	r.mu.Lock()
 	r.balancer.Retain(names)
+	r.versions.update(r.config.Now(), state)
 	r.mu.Unlock()
 	// Whether the store can be read is not known here: its reader waits for this call.
 	r.detectCrashes(r.config.Now(), state, false)
@@ -268,6 +275,8 @@
 	endpoint      string
 	// framing is that of the last response that was forwarded, or that was to be.
 	framing connection.Framing
+	// version is the software version at which the stream must go on, "" before its first event.
+	version string
 	// stream is the progress of the streamed response, nil for plain calls.
 	stream *stream
 }
@@ -348,6 +357,11 @@
 	defer cancel()
 	r.localBudget(name).RecordRequest(r.config.Now())
 	var err error
+	if matched.Resumable && j.call.LastEvent != NoEvent {
+		if err = r.findOrigin(ctx, j); err != nil {
+			return err
+		}
+	}
 	if j.service.Engine != nil {
 		r.activeStreams.Add(1)
 		defer r.activeStreams.Add(-1)
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -36,6 +36,8 @@
 	// between two events.
 	lastAt time.Time
 	maxGap time.Duration
+	// onBegin is called before the first event. Its error ends the response.
+	onBegin func() error
 	// onEvent is called after each event.
 	onEvent func()
 }
@@ -103,6 +105,9 @@
 		return nil
 	}
 	if !s.job.writer.Started() {
+		if err := s.onBegin(); err != nil {
+			return err
+		}
 		if err := s.writeHeader(response); err != nil {
 			return err
 		}
--- /dev/null
+++ b/pkg/relay/version.go
@@ -0,0 +1,167 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmerictide/turmerictide/pkg/connection"
+	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/ticket"
+)
+
+const (
+	// recordTimeout limits the wait for the record of a stream's version after its first event has
+	// arrived. Without the record, the stream can be taken up at this host alone.
+	recordTimeout = 100 * time.Millisecond
+	// versionRetryAfter is the time in which a crashed endpoint of a version is back, or a store
+	// that is away.
+	versionRetryAfter = 3 * time.Second
+	// streamLives is the number of route timeouts for which events of a stream may be at a caller:
+	// one for the attempt that began it, and one for the attempts after it.
+	streamLives = 2
+)
+
+// versionHistory contains the software versions of each service's endpoints and when each was last
+// registered.
+type versionHistory struct {
+	services map[string]*serviceVersions
+	// staleAt is the last time at which the registered endpoints may not have been known.
+	staleAt time.Time
+}
+
+type serviceVersions struct {
+	since    time.Time
+	current  map[string]bool
+	lastSeen map[string]time.Time
+}
+
+// update records the registered endpoints.
+func (h *versionHistory) update(now time.Time, state *directory.State) {
+	current := map[string]map[string]bool{}
+	for _, e := range state.Endpoints {
+		if e.Role == ticket.RolePrefill {
+			continue
+		}
+		if current[e.Service] == nil {
+			current[e.Service] = map[string]bool{}
+		}
+		current[e.Service][e.Version] = true
+	}
+	for service, versions := range current {
+		if h.services[service] == nil {
+			h.services[service] = &serviceVersions{since: now, lastSeen: map[string]time.Time{}}
+		}
+		for version := range versions {
+			h.services[service].lastSeen[version] = now
+		}
+	}
+	for service, known := range h.services {
+		for version := range known.current {
+			known.lastSeen[version] = now
+		}
+		known.current = current[service]
+	}
+}
+
+// only returns the version of all streams of a service that have begun in a period before now. It
+// returns false if there may have been several.
+func (h *versionHistory) only(now time.Time, service string, period time.Duration) (string, bool) {
+	known := h.services[service]
+	if known == nil || now.Sub(known.since) < period || now.Sub(h.staleAt) < period {
+		return "", false
+	}
+	only, count := "", 0
+	for version, at := range known.lastSeen {
+		switch {
+		case known.current[version] || now.Sub(at) < period:
+			only, count = version, count+1
+		default:
+			delete(known.lastSeen, version)
+		}
+	}
+	return only, count == 1
+}
+
+// findOrigin finds the software version that began the stream which a call resumes. The error is the
+// Fault for a version that is not known: events of two versions must not be joined.
+func (r *Relay) findOrigin(ctx context.Context, j *job) error {
+	var err error
+	source, known := "record", false
+	if j.call.Resumes != "" {
+		j.version, known, err = r.config.Origins.Version(ctx, j.call.Resumes)
+	}
+	if !known && err == nil {
+		source = "only version"
+		r.mu.Lock()
+		j.version, known = r.versions.only(r.config.Now(), j.service.Name, streamLives*j.route.Timeout)
+		r.mu.Unlock()
+	}
+	fields := []any{"request_id", j.call.ID, "resumes", j.call.Resumes, "last_event", j.call.LastEvent, "version", j.version, "source", source}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	if !known {
+		r.config.Log.Info("version of a resumed stream is not known", fields...)
+		return &Fault{Cause: CauseVersionUnknown, RetryAfter: versionRetryAfter}
+	}
+	r.config.Log.Info("version of a resumed stream is known", fields...)
+	return nil
+}
+
+// servesVersion reports whether an endpoint that can stream accepts new work at a version.
+func servesVersion(state *directory.State, service, version string) bool {
+	for _, e := range state.Serving(service) {
+		if e.Version == version && e.Role != ticket.RolePrefill {
+			return true
+		}
+	}
+	return false
+}
+
+// recordOrigin starts to write the version that is about to begin a stream which its caller may
+// take up, unless it was the last one to be written.
+func (m *modelRun) recordOrigin(version string) {
+	j := m.job
+	if !j.route.Resumable || j.call.LastEvent != NoEvent || m.stream.eventCount > 0 || (m.record != nil && m.recordedVersion == version) {
+		return
+	}
+	m.record = m.relay.config.Origins.Record(j.call.ID, m.records, version)
+	m.recordedVersion = version
+	m.records++
+}
+
+// beginStream makes the stream one of the version of its first endpoint, before the first event is
+// forwarded. If an earlier record names another version, the present one must be written first.
+func (m *modelRun) beginStream(ctx context.Context, version string) error {
+	j := m.job
+	if j.version == "" {
+		j.version = version
+	}
+	if m.record == nil {
+		return nil
+	}
+	m.relay.config.Origins.Remember(j.call.ID, version)
+	if m.records == 1 {
+		if m.relay.config.IsStoreCurrent() {
+			limitedCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+			defer cancel()
+			ctx = limitedCtx
+			select {
+			case <-m.record.Done():
+			case <-ctx.Done():
+			}
+		}
+		return nil
+	}
+	select {
+	case <-m.record.Done():
+		if err := m.record.Err(); err != nil {
+			return errors.Newf("record version: %v: %w", err, connection.ErrBroken)
+		}
+		return nil
+	case <-ctx.Done():
+		return errors.Newf("record version: %w", errors.Mark(context.Cause(ctx), connection.ErrBroken))
+	}
+}
--- a/pkg/store/mirror.go
+++ b/pkg/store/mirror.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -65,6 +66,8 @@
 	// onChange is called with the current content after each change, in order and with
 	// mu held.
 	onChange func(Content)
+	// ignored is the prefix of the keys of entries that are not kept, "" for none.
+	ignored string
 
 	mu      sync.Mutex
 	entries map[string]Entry
@@ -112,6 +115,17 @@
 	}
 }
 
+// Ignore excludes the entries under a prefix, which their readers read from the store one by one. It
+// must be called before Serve.
+func (m *Mirror) Ignore(prefix string) {
+	m.ignored = prefix
+}
+
+// isIgnored reports whether an entry is not kept.
+func (m *Mirror) isIgnored(entry Entry) bool {
+	return m.ignored != "" && strings.HasPrefix(entry.Key, m.ignored)
+}
+
 // Done is closed when Serve has returned for the first time.
 func (m *Mirror) Done() <-chan struct{} {
 	return m.done
@@ -291,6 +305,7 @@
 	defer m.mu.Unlock()
 	m.recordContact()
 	m.recordUnreadable(listing.Unreadable)
+	listing.Entries = slices.DeleteFunc(listing.Entries, m.isIgnored)
 	m.mergeListing(listing)
 	m.listed, m.listTimeout = true, listTimeout
 	m.revision = max(m.revision, listing.Revision)
@@ -327,9 +342,10 @@
 	if len(changes.Events) > 0 || changes.Unreadable > 0 {
 		m.recordUnreadable(changes.Unreadable)
 	}
-	m.applyEvents(changes.Events)
+	events := slices.DeleteFunc(slices.Clone(changes.Events), func(e Event) bool { return m.isIgnored(e.Entry) })
+	m.applyEvents(events)
 	m.revision = max(m.revision, changes.Revision)
-	if len(changes.Events) > 0 {
+	if len(events) > 0 {
 		m.publish(m.lastFailure)
 	}
 }
--- a/pkg/store/mirror_test.go
+++ b/pkg/store/mirror_test.go
@@ -258,3 +258,34 @@
 		<-m.Done()
 	})
 }
+
+// TestIgnoredEntriesAreNotKept lists and polls entries under an ignored prefix beside others.
+func TestIgnoredEntriesAreNotKept(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		s := &scriptedStore{polls: make(chan pollResult, 1), listing: store.Listing{Revision: 2, Entries: []store.Entry{
+			{Key: "ignored/a", Revision: 1}, {Key: "kept/a", Revision: 2},
+		}}}
+		published := 0
+		m := store.NewMirror(s.store(), "", func(store.Content) { published++ }, time.Now, logr.Discard())
+		m.Ignore("ignored/")
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = m.Serve(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, m.Content().Entries, 1)
+		require.Equal(t, 1, published)
+		s.polls <- pollResult{changes: store.Changes{Revision: 3, Events: []store.Event{{Entry: store.Entry{Key: "ignored/b", Revision: 3}}}}}
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 1, published)
+		require.EqualValues(t, 3, m.Revision())
+		s.polls <- pollResult{changes: store.Changes{Revision: 5, Events: []store.Event{
+			{Entry: store.Entry{Key: "ignored/c", Revision: 4}}, {Entry: store.Entry{Key: "kept/b", Revision: 5}},
+		}}}
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, m.Content().Entries, 2)
+		changes, _, ok := m.ChangesSince(2)
+		require.True(t, ok)
+		require.Len(t, changes.Events, 1)
+		require.EqualValues(t, 5, changes.Revision)
+	})
+}
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -130,6 +130,8 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 	// Leaving endpoints receive no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Version is that of the endpoint's software. Requests may ask for one.
+	Version string `json:"version,omitempty"`
 }
 
 // Pool contains all endpoints of one role of a service in one availability zone.
