Serve streams that callers take up before new requests

Cause: a stream that was taken up was judged like a new request, by the first-token target and behind all that waited.

Owners keep a queue of resumed streams before those of the ranks, in the order of offers. They may wait as long as a caller that comes back, and one that waits for its version does not delay those of others. Only a stream with a record of its version counts as one, so that invented attempts gain nothing.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -76,6 +76,9 @@
 	Zone string
 	// Version is the software version that the decode endpoint must have, "" for any.
 	Version string
+	// Resumed is set for a stream that its caller takes up after it broke off. It goes before the
+	// requests of all ranks, which have received nothing yet.
+	Resumed bool
 }
 
 // excludes reports whether the request must not go to an endpoint.
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -45,6 +45,9 @@
 // grantNext decides on the first request that fits, in the order of ranks and
 // callers.
 func (p *Planner) grantNext(now time.Time) (Decision, bool) {
+	if decision, ok := p.grantResumed(now); ok {
+		return decision, true
+	}
 	if p.queues.areRetriesOwed() {
 		if decision, ok := p.grantRetry(now, 1); ok {
 			return decision, true
--- a/pkg/dispatch/planner_events.go
+++ b/pkg/dispatch/planner_events.go
@@ -13,6 +13,10 @@
 		return decisions
 	}
 	request.Rank = min(max(request.Rank, 0), len(p.queues.ranks)-1)
+	if request.Resumed {
+		p.refresh(now)
+		return p.offerResumed(now, request, decisions)
+	}
 	if retryAt, ok := p.retryTimes.lookup(now, request.Fingerprint); ok && request.Fingerprint != 0 && p.service.ReturnTargets > 0 {
 		p.refresh(now)
 		return p.offerRetry(now, request, retryAt, decisions)
--- a/pkg/dispatch/queue_rank.go
+++ b/pkg/dispatch/queue_rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 	// that they may claim before fresh requests.
 	retries     retryHeap
 	retryCredit float64
+	// resumed are the queued requests of resumed streams, in the order of their offers.
+	resumed []*queuedRequest
 }
 
 func newRankQueues(all []targets) *rankQueues {
@@ -55,9 +58,12 @@
 	if !ok {
 		return false
 	}
-	if w.isRetry {
+	switch {
+	case w.isRetry:
 		heap.Remove(&q.retries, w.retryIndex)
-	} else {
+	case w.request.Resumed:
+		q.resumed = slices.DeleteFunc(q.resumed, func(other *queuedRequest) bool { return other == w })
+	default:
 		q.ranks[w.request.Rank].fair.remove(w)
 	}
 	q.unindex(w)
--- a/pkg/dispatch/queue_retry.go
+++ b/pkg/dispatch/queue_retry.go
@@ -107,8 +107,7 @@
 
 // offerRetry queues or rejects a caller retry, as Offer does with a fresh request.
 func (p *Planner) offerRetry(now time.Time, request Request, retryAt time.Time, decisions []Decision) []Decision {
-	target := float64(p.queues.ranks[request.Rank].targets.firstToken)
-	latest := request.Arrival.Add(time.Duration(p.service.ReturnTargets*target) - p.minFirstTokenTime(request))
+	latest := request.Arrival.Add(p.returnTarget(request) - p.minFirstTokenTime(request))
 	if cause := p.unservableCause(request, latest); cause != "" {
 		return append(decisions, p.reject(now, request, cause))
 	}
@@ -122,6 +121,11 @@
 	return p.schedule(now, decisions)
 }
 
+// returnTarget returns the time for which a caller that has come back waits for its next token.
+func (p *Planner) returnTarget(request Request) time.Duration {
+	return time.Duration(max(p.service.ReturnTargets, 1) * float64(p.queues.ranks[request.Rank].targets.firstToken))
+}
+
 // predictRetryWait returns the time for which another caller retry would wait.
 func (p *Planner) predictRetryWait(now time.Time) time.Duration {
 	total := p.throughput()
@@ -149,8 +153,7 @@
 	if !ok || 1-choice.freeShare > loadLimit {
 		return Decision{}, false
 	}
-	target := float64(p.queues.ranks[w.request.Rank].targets.firstToken)
-	if now.Add(choice.firstToken).After(w.request.Arrival.Add(time.Duration(p.service.ReturnTargets * target))) {
+	if now.Add(choice.firstToken).After(w.request.Arrival.Add(p.returnTarget(w.request))) {
 		p.queues.remove(w.request.ID)
 		return p.reject(now, w.request, CauseTooLate), true
 	}
@@ -187,7 +190,8 @@
 	return len(q.retries) > 0 && q.retryCredit > 0
 }
 
-// countFresh returns the number of queued requests that are not caller retries.
+// countFresh returns the number of queued requests that are neither caller retries nor resumed
+// streams.
 func (q *rankQueues) countFresh() int {
-	return len(q.queued) - len(q.retries)
+	return len(q.queued) - len(q.retries) - len(q.resumed)
 }
--- a/pkg/dispatch/wire.go
+++ b/pkg/dispatch/wire.go
@@ -110,6 +110,7 @@
 	flagSuspect requestFlags = 1 << iota
 	flagDecodeOnly
 	flagCached
+	flagResumed
 )
 
 func encodeFlags(r Request) requestFlags {
@@ -123,6 +124,9 @@
 	if r.Cached {
 		flags |= flagCached
 	}
+	if r.Resumed {
+		flags |= flagResumed
+	}
 	return flags
 }
 
@@ -203,6 +207,7 @@
 		Suspect:      w.Flags&flagSuspect != 0,
 		DecodeOnly:   w.Flags&flagDecodeOnly != 0,
 		Cached:       w.Flags&flagCached != 0,
+		Resumed:      w.Flags&flagResumed != 0,
 	}
 	if w.Rare != nil {
 		r.Exclude = w.Rare.Exclude
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -139,7 +139,7 @@
 		PromptTokens: j.call.PromptTokens + delivered, OutputTokens: max(j.call.OutputTokens-delivered, 1),
 		ExpectedTokens: max(j.call.ExpectedTokens-delivered, 0), Prefixes: j.call.Prefixes,
 		Arrival: j.call.Arrival, Exclude: m.excludedEndpoint, Suspect: verdict == poison.VerdictSuspect,
-		Fingerprint: dispatch.Fingerprint(j.fingerprints[0]), DecodeOnly: m.isDecodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.closedEndpoints(now, j), Version: j.version,
+		Fingerprint: dispatch.Fingerprint(j.fingerprints[0]), DecodeOnly: m.isDecodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.closedEndpoints(now, j), Version: j.version, Resumed: j.isTakenUp,
 	}
 	request.Cached = m.handle.ID != ""
 	if (request.DecodeOnly && !request.Cached) || request.Version != "" {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -277,6 +277,8 @@
 	framing connection.Framing
 	// version is the software version at which the stream must go on, "" before its first event.
 	version string
+	// isTakenUp is true if the caller takes up a stream that was recorded.
+	isTakenUp bool
 	// stream is the progress of the streamed response, nil for plain calls.
 	stream *stream
 }
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -91,6 +91,7 @@
 	source, known := "record", false
 	if j.call.Resumes != "" {
 		j.version, known, err = r.config.Origins.Version(ctx, j.call.Resumes)
+		j.isTakenUp = known
 	}
 	if !known && err == nil {
 		source = "only version"
