Test the guards of streams' versions that no test held

The check of the version at the send itself (a server that has another one since its place was granted) is held by none.

--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -168,3 +168,19 @@
 		requireVersion(t, keeper, "attempt", "v1")
 	})
 }
+
+// TestInventedAttemptsAreReadAtALimitedRate looks up attempts that nobody has served.
+func TestInventedAttemptsAreReadAtALimitedRate(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		refused := 0
+		for i := range 10_000 {
+			if _, _, err := keeper.Version(t.Context(), fmt.Sprint(i)); err != nil {
+				refused++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.LessOrEqual(t, s.lists, 200+50*10)
+		require.Equal(t, 10_000, s.lists+refused)
+	})
+}
