Let streams of a crashed endpoint go on beside each other

Cause: all streams of the crashed endpoint were suspects, and an endpoint runs one suspect at a time, so they waited for each other at the few endpoints of their version.

The crash of a run that has sent events for 250 ms counts as before, with the run itself as its first survival: requests crash endpoints when these begin to run them. So it leaves no suspect. TestStreamsOfACrashedServerGoOnTogether was red (a broken answer in 3 of 3) and is green.

All tests of crashing requests and parts in platform/ are green.

--- a/pkg/relay/crash.go
+++ b/pkg/relay/crash.go
@@ -48,6 +48,8 @@
 	firstEventAt time.Time
 	// survived is true when the run has shown that no part of its prompt crashes endpoints.
 	survived bool
+	// outlasted is true when the run has sent events for poison.SurvivalDelay.
+	outlasted bool
 	// knownCrashes are the crashes that were known when the run started, for each
 	// fingerprint.
 	knownCrashes [][]poison.CrashID
@@ -86,6 +88,7 @@
 	}
 	u.events++
 	if now.Sub(u.firstEventAt) >= poison.SurvivalDelay {
+		u.outlasted = true
 		u.recordSurvival()
 	}
 }
@@ -156,6 +159,12 @@
 	}
 	for _, f := range u.fingerprints {
 		record := r.config.Poison.AddCrash(now, f, crash)
+		if u.outlasted {
+			// Requests crash their endpoints when these begin to run them, and the streams of a
+			// crashed endpoint must not wait for each other. The crash counts nevertheless.
+			r.config.Poison.RecordSurvival(now, f, []poison.CrashID{crash.ID})
+			record = r.config.Poison.CrashRecord(f)
+		}
 		r.config.BroadcastCrashRecord(record)
 		crashes = max(crashes, len(record.Crashes))
 	}
