Wait for the record of a stream's version in one place

Behaviour is unchanged: the first record is awaited for a limited time and its failure is no error, a later one until it is written.

--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -144,18 +144,19 @@
 		return nil
 	}
 	m.relay.config.Origins.Remember(j.call.ID, version)
-	if m.records == 1 {
-		if m.relay.config.IsStoreCurrent() {
-			limitedCtx, cancel := context.WithTimeout(ctx, recordTimeout)
-			defer cancel()
-			ctx = limitedCtx
-			select {
-			case <-m.record.Done():
-			case <-ctx.Done():
-			}
-		}
-		return nil
+	if m.records > 1 {
+		return m.awaitRecord(ctx)
+	}
+	if m.relay.config.IsStoreCurrent() {
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		_ = m.awaitRecord(ctx)
 	}
+	return nil
+}
+
+// awaitRecord waits until the last record of the stream's version is written.
+func (m *modelRun) awaitRecord(ctx context.Context) error {
 	select {
 	case <-m.record.Done():
 		if err := m.record.Err(); err != nil {
