--- a/review/kit/daemon.go
+++ b/review/kit/daemon.go
@@ -3,13 +3,16 @@
 package kit
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -122,18 +125,60 @@
 	Extra string
 }
 
-// Address returns a free address of an IP.
+// The ports of daemons lie below the range from which the kernel takes those of outgoing connections, so
+// that no connection takes one between its choice and its use.
+const (
+	firstPort = 15000
+	portCount = 17000
+)
+
+var takenPorts = map[int]bool{}
+
+// Address returns a free address of an IP, which it returns only once.
 func Address(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		Fail(err)
+	for range 1000 {
+		port := firstPort + rand.IntN(portCount)
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
+		if takenPorts[port] {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			takenPorts[port] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	Fail(errors.New("no free port"))
+	return ""
 }
 
-// StartDaemon starts target/turmerictided with the project's settings template filled in.
+// StartDaemon starts a daemon. Another program may take one of its ports between the choice and the
+// use; then it starts once more with others.
 func StartDaemon(o Options) *Daemon {
+	for range 4 {
+		d := startDaemon(o)
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+			if d.HasExited() {
+				break
+			}
+			if c, err := net.Dial("tcp", d.Front); err == nil {
+				_ = c.Close()
+				return d
+			}
+		}
+		text, _ := os.ReadFile(d.LogFile)
+		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+		Log("daemon %s does not serve: %s", o.Name, lines[len(lines)-1])
+		if !strings.Contains(string(text), "address already in use") {
+			break
+		}
+	}
+	Fail(fmt.Errorf("daemon %s does not start", o.Name))
+	return nil
+}
+
+// startDaemon starts target/turmerictided with the project's settings template filled in.
+func startDaemon(o Options) *Daemon {
 	d := &Daemon{Name: o.Name, IP: o.IP, Front: Address(o.IP), Ready: Address(o.IP), exited: make(chan struct{})}
 	peer, operator := Address(o.IP), Address(o.IP)
 	metrics := Address(o.IP)
@@ -161,6 +206,8 @@
 	}
 	d.command = exec.Command("target/turmerictided", "--settings", path)
 	d.command.Stdout, d.command.Stderr = log, log
+	// The daemon ends with this program, however that ends. The thread that starts it must live as long.
+	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := d.command.Start(); err != nil {
 		Fail(err)
 	}
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -18,6 +19,11 @@
 // limit is the longest time that a case may take.
 const limit = 110 * time.Second
 
+// Cases start daemons from the main goroutine, whose thread lives as long as the program.
+func init() {
+	runtime.LockOSThread()
+}
+
 func main() {
 	cases := map[string]func(trouble bool){
 		"limited-engines": limitedEngines, "smuggled": smuggled, "large-bodies": largeBodies, "taken-up": takenUp, "silence": silence, "late-streams": lateStreams,
