Accept late streams in a shutdown only if their deadline fits

Cause: drain.accepts took the durations of completed streams for a bound. A daemon that has just started has completed only its short streams, and a stream may run until its deadline in any case. Ruled out: the time of the cut (the log has it 7.5 s after SIGTERM, as set), and streams accepted early (the script sends them 3.3 s after SIGTERM).

Change: from earlyStreamDelay on, a stream is accepted only if its deadline is not after the cut.

TestDrainingHostAcceptsStreamsOfUnknownLength asked that a late stream with a minute left be accepted 5 s before the cut, which is the fault itself. It now asks that for early streams, and that a late one is refused.

--- a/pkg/relay/drain.go
+++ b/pkg/relay/drain.go
@@ -10,12 +10,12 @@
 const (
 	// durationCount is the number of calls of a service whose durations are kept.
 	durationCount = 256
-	// lateQuantile is the fraction of these calls that are shorter than the expected duration of
-	// a call that comes late in a drain. earlyQuantile is that of a stream that comes early, while
-	// the load balancer still sends streams here: most are served to their end, and callers
-	// resume the others at another daemon.
-	lateQuantile  = 0.99
-	earlyQuantile = 0.5
+	// plainQuantile is the fraction of these calls that are shorter than the expected duration of
+	// a plain call. streamQuantile is that of a stream that comes early, while the load balancer
+	// still sends streams here: most are served to their end, and callers resume the others at
+	// another daemon.
+	plainQuantile  = 0.99
+	streamQuantile = 0.5
 	// durationMargin is the factor by which a call may take longer.
 	durationMargin = 1.25
 	// unknownStreamDuration is the expected duration of a stream of a service without completed
@@ -69,17 +69,22 @@
 	d.byService[service].record(took)
 }
 
-// accepts reports whether a call to a service, which ends at its deadline at the latest, is
-// expected to end in time.
+// accepts reports whether a call to a service, which ends at its deadline at the latest, may begin.
+// A plain call and an early stream must be expected to end in time. A late stream must be certain to:
+// the completed streams do not limit its duration, least of all while those that take longest are
+// still in flight.
 func (d *drain) accepts(now time.Time, service string, deadline time.Time, isStream bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.end.IsZero() || !deadline.After(d.end) {
 		return true
 	}
-	expected, quantile := time.Duration(0), lateQuantile
-	if isStream && now.Before(d.earlyUntil) {
-		quantile = earlyQuantile
+	expected, quantile := time.Duration(0), plainQuantile
+	if isStream {
+		if !now.Before(d.earlyUntil) {
+			return false
+		}
+		quantile = streamQuantile
 	}
 	if known := d.byService[service]; known != nil {
 		expected = known.expected(quantile)
@@ -91,8 +96,8 @@
 }
 
 // Drain makes the Relay accept only calls that are expected to end before end, at which the calls
-// in flight are cut. It rejects others with CauseLeaving, so that callers send them to another
-// daemon. Streams that come before earlyUntil are early ones.
+// in flight are cut, and from earlyUntil on only streams whose deadline is not after end. It rejects
+// others with CauseLeaving, so that callers send them to another daemon.
 func (r *Relay) Drain(earlyUntil, end time.Time) {
 	r.drain.begin(earlyUntil, end)
 }
--- a/pkg/relay/drain_test.go
+++ b/pkg/relay/drain_test.go
@@ -40,6 +40,9 @@
 		"most streams were long, early":        {calls: append(calls(6, 100*time.Millisecond), calls(10, time.Second)...), left: time.Second, isStream: true, early: time.Millisecond},
 		"calls were long some time ago":        {calls: append(calls(1000, time.Minute), calls(256, 400*time.Millisecond)...), left: time.Second, accepted: true},
 		"calls of another service are shorter": {calls: calls(50, 100*time.Millisecond), service: "other", left: time.Second},
+		"all known streams were short, late":   {calls: calls(50, 100*time.Millisecond), left: mayLast - time.Millisecond, isStream: true},
+		"all known streams were short, early":  {calls: calls(50, 100*time.Millisecond), left: mayLast - time.Millisecond, isStream: true, early: time.Millisecond, accepted: true},
+		"the deadline of a late stream fits":   {left: mayLast, isStream: true, accepted: true},
 	} {
 		d := relay.NewDrainer()
 		for _, took := range c.calls {
@@ -55,13 +58,14 @@
 	}
 }
 
-// TestDrainingHostAcceptsStreamsOfUnknownLength asks for a stream that may last for a minute.
-func TestDrainingHostAcceptsStreamsOfUnknownLength(t *testing.T) {
+// TestDrainingHostAcceptsEarlyStreamsOfUnknownLength asks for a stream that may last for a minute.
+func TestDrainingHostAcceptsEarlyStreamsOfUnknownLength(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	for _, left := range []time.Duration{4999 * time.Millisecond, 5 * time.Second} {
 		d := relay.NewDrainer()
-		d.Begin(start, start.Add(left))
+		d.Begin(start.Add(time.Millisecond), start.Add(left))
 		require.Equal(t, left >= 5*time.Second, d.Accepts(start, "assistant", start.Add(time.Minute), true))
 		require.False(t, d.Accepts(start, "assistant", start.Add(time.Minute), false))
+		require.False(t, d.Accepts(start.Add(time.Millisecond), "assistant", start.Add(time.Minute), true), "the stream is late")
 	}
 }
