Order moves of engines without the lock of the dispatcher

Cause: Dispatcher.tick called MoveEngine with its mutex held. For an engine that names a rate limit or has requested a hold-off, moveEngine calls Dispatcher.DropMove at once, which locks the same mutex. Directory.Update then waits in Dispatcher.Refresh for good.

Change: tick releases the mutex before it orders the decided moves.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -67,8 +67,8 @@
 	// CancelHold cancels the request of a hold at its endpoints and calls confirmed when
 	// they no longer run it.
 	CancelHold func(hold Hold, fencing FencingNumber, confirmed func())
-	// MoveEngine orders an engine of a service to change its role. It must not block.
-	// It is nil if engines accept no orders.
+	// MoveEngine orders an engine of a service to change its role. It must not block, and may
+	// call the Dispatcher. It is nil if engines accept no orders.
 	MoveEngine func(service string, move Move)
 	// BroadcastPressure broadcasts the pressure of a shard to the other daemons.
 	BroadcastPressure func(id ShardID, pressure Pressure)
--- a/pkg/dispatch/dispatcher_reconcile.go
+++ b/pkg/dispatch/dispatcher_reconcile.go
@@ -13,11 +13,27 @@
 // before the request is cancelled.
 const orphanGracePeriod = 3 * time.Second
 
-// tick advances all owned shards and reports whether a request waits in any of them.
+// decidedMove is a move of an engine of a service.
+type decidedMove struct {
+	service string
+	move    Move
+}
+
+// tick advances all owned shards, orders the moves that their Planners decided, and reports whether
+// a request waits in any shard.
 func (d *Dispatcher) tick(now time.Time) bool {
+	hasWaiting, moves := d.advance(now)
+	for _, m := range moves {
+		d.config.MoveEngine(m.service, m.move)
+	}
+	return hasWaiting
+}
+
+// advance advances all owned shards. It reports whether a request waits in any of them, and returns
+// the moves to order. MoveEngine may call the Dispatcher, so the caller must not hold mu for it.
+func (d *Dispatcher) advance(now time.Time) (hasWaiting bool, moves []decidedMove) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	hasWaiting := false
 	d.checkPause(now)
 	if !d.hasTakenOver && now.Sub(d.startedAt) >= peerDiscoveryTimeout {
 		d.hasTakenOver = true
@@ -33,22 +49,22 @@
 			d.sendDecisions(o, o.planner.Tick(now, d.decisions[:0]))
 		}
 		d.audit(now, o)
-		d.orderMove(now, o)
+		if move, ok := d.decideMove(now, o); ok {
+			moves = append(moves, decidedMove{service: o.shard.Key.Service, move: move})
+		}
 		d.broadcastPressure(now, o)
 		hasWaiting = hasWaiting || o.hasWaiting()
 	}
-	return hasWaiting
+	return hasWaiting, moves
 }
 
-// orderMove orders the move of an engine between the pools of an owned shard if the
-// Planner decides on one. A temporary owner moves no engines. mu must be held.
-func (d *Dispatcher) orderMove(now time.Time, o *ownedShard) {
+// decideMove returns the move of an engine between the pools of an owned shard if the Planner
+// decides on one. A temporary owner moves no engines. mu must be held.
+func (d *Dispatcher) decideMove(now time.Time, o *ownedShard) (Move, bool) {
 	if d.config.MoveEngine == nil || !o.temporaryUntil.IsZero() || o.isRebuilding(now) {
-		return
-	}
-	if move, ok := o.planner.DecideMove(now); ok {
-		d.config.MoveEngine(o.shard.Key.Service, move)
+		return Move{}, false
 	}
+	return o.planner.DecideMove(now)
 }
 
 // DropMove drops the move of an engine that could not be ordered. The Planners of the
--- a/pkg/dispatch/rebalance_test.go
+++ b/pkg/dispatch/rebalance_test.go
@@ -1,11 +1,15 @@
 package dispatch_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/turmerictide/turmerictide/internal/virtual"
 	"github.com/turmerictide/turmerictide/pkg/dispatch"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
@@ -166,3 +170,41 @@
 	require.LessOrEqual(t, countDecodeOnly(1), 6)
 	require.Zero(t, countDecodeOnly(3))
 }
+
+// TestMoveMayBeDroppedWhenItIsOrdered guards against a deadlock of a Dispatcher whose MoveEngine
+// drops the move at once.
+func TestMoveMayBeDroppedWhenItIsOrdered(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		hosts := func(string) []string { return []string{"host-0"} }
+		dropped := make(chan string, 10)
+		var d *dispatch.Dispatcher
+		d = dispatch.NewDispatcher(dispatch.DispatcherConfig{
+			EligibleOwners: allHostsEligible, StartedTogether: alwaysStartedTogether, Host: "host-0", AvailabilityZone: "a", Now: time.Now, Log: logr.Discard(),
+			Publish: func(string, ...*message.Message) error { return nil },
+			Hosts:   hosts, Fronts: func() []string { return hosts("") },
+			FrontIncarnation: func(uint32, string, time.Time) dispatch.IncarnationState { return dispatch.IncarnationAlive },
+			ZoneOf:           func(string) string { return "a" }, BroadcastPressure: func(dispatch.ShardID, dispatch.Pressure) {},
+			CancelHold: func(dispatch.Hold, dispatch.FencingNumber, func()) {},
+			MoveEngine: func(service string, move dispatch.Move) {
+				d.DropMove(service, move.Endpoint.Name)
+				dropped <- move.Endpoint.Name
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = d.Serve(ctx) }()
+		state := siteState("decode-0", "decode-1", "decode-2")
+		delete(state.Pools, "prefill")
+		d.Refresh(state)
+		for range 2 {
+			select {
+			case endpoint := <-dropped:
+				require.Contains(t, endpoint, "decode-")
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "no move was ordered")
+			}
+		}
+		d.Refresh(state)
+		cancel()
+		<-d.Done()
+	})
+}
