Write the records of streams that began in an outage after it

Cause: the keeper wrote the record of a stream's version once. A record whose write failed was dropped, so the stream had none for the rest of its life. Ruled out: a record that was written and not found (the killed daemon's log says that it was not written).

Change: a write that fails is repeated until the stream can no longer be taken up. The result of the first attempt is given to the caller as before.

--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -5,13 +5,16 @@
 // caller's attempt before the first event is forwarded. The write runs beside the prefill. A host
 // that serves the rest of a stream reads the record, unless it began the stream itself.
 //
-// A stream without a record can be taken up only while its version is certain for another reason.
+// A stream without a record can be taken up only while its version is certain for another reason. So
+// a write that fails is retried for as long as the stream can be taken up.
 package origin
 
 import (
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,8 +40,14 @@
 	readTimeout  = 500 * time.Millisecond
 	// maxPutsPerCommit limits the records of one call to the store.
 	maxPutsPerCommit = 32
-	// maxQueuedWrites limits the records that wait for a write.
+	// maxQueuedWrites limits the records that wait for a write, and those that wait for another one
+	// after it has failed.
 	maxQueuedWrites = 1024
+	// initialRetryDelay and maxRetryDelay limit the delay before jitter between writes that fail. The
+	// delay doubles with each failure. All records are written within three seconds of the end of an
+	// outage, in which callers come back.
+	initialRetryDelay = 100 * time.Millisecond
+	maxRetryDelay     = 800 * time.Millisecond
 	// maxRemembered limits the streams whose versions are kept in memory.
 	maxRemembered = 4096
 	// readRate limits the reads of records per second, and readBurst those at once. Callers may
@@ -75,16 +84,20 @@
 type Write struct {
 	key     string
 	version string
-	done    chan struct{}
-	err     error
+	// expiry is the time from which on the record is not needed.
+	expiry time.Time
+	done   chan struct{}
+	err    error
 }
 
-// Done is closed when the store has acknowledged the record, or when it has not.
+// Done is closed when the first attempt to write the record has ended, whether the store has
+// acknowledged it or not.
 func (w *Write) Done() <-chan struct{} {
 	return w.done
 }
 
-// Err returns why the record may not be in the store, nil if it is. It is valid after Done.
+// Err returns why the first attempt has failed, nil if the record is in the store. It is valid after
+// Done.
 func (w *Write) Err() error {
 	return w.err
 }
@@ -99,9 +112,14 @@
 	config KeeperConfig
 	done   chan struct{}
 	wake   chan struct{}
-	// lease is the lease of new records, granted at leaseGrantedAt. Only Serve uses it.
+	// lease is the lease of new records, granted at leaseGrantedAt. failed are the records whose last
+	// write has failed, the oldest first. They are written again at retryAt, after retryDelay. Only
+	// Serve uses them.
 	lease          store.LeaseID
 	leaseGrantedAt time.Time
+	failed         []*Write
+	retryDelay     time.Duration
+	retryAt        time.Time
 
 	mu     sync.Mutex
 	queued []*Write
@@ -116,7 +134,10 @@
 
 // NewKeeper returns a Keeper. Serve must run for it to write.
 func NewKeeper(config KeeperConfig) *Keeper {
-	return &Keeper{config: config, done: make(chan struct{}), wake: make(chan struct{}, 1), remembered: map[attemptKey]string{}, reads: readBurst, readsAt: config.Now()}
+	return &Keeper{
+		config: config, done: make(chan struct{}), wake: make(chan struct{}, 1), remembered: map[attemptKey]string{},
+		reads: readBurst, readsAt: config.Now(), retryDelay: initialRetryDelay,
+	}
 }
 
 // Done is closed when Serve has returned.
@@ -125,9 +146,13 @@
 }
 
 // Record writes the version at which an attempt is about to begin a stream. number counts the
-// records of the attempt from 0; the last one holds, in whatever order the store does the writes.
-func (k *Keeper) Record(attempt string, number int, version string) *Write {
-	w := &Write{key: RecordsPrefix + string(newAttemptKey(attempt)) + "/" + strconv.Itoa(number), version: version, done: make(chan struct{})}
+// records of the attempt from 0; the last one holds, in whatever order the store does the writes. A
+// write that fails is retried until expiry.
+func (k *Keeper) Record(attempt string, number int, version string, expiry time.Time) *Write {
+	w := &Write{
+		key: RecordsPrefix + string(newAttemptKey(attempt)) + "/" + strconv.Itoa(number), version: version, expiry: expiry,
+		done: make(chan struct{}),
+	}
 	k.mu.Lock()
 	isFull := len(k.queued) >= maxQueuedWrites
 	if !isFull {
@@ -207,10 +232,19 @@
 // Serve writes records until ctx is done.
 func (k *Keeper) Serve(ctx context.Context) error {
 	defer close(k.done)
+	retry := time.NewTimer(0)
+	defer retry.Stop()
 	for {
+		retry.Stop()
+		if len(k.failed) > 0 {
+			retry.Reset(k.retryAt.Sub(k.config.Now()))
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-retry.C:
+			k.retryFailed(ctx)
+			continue
 		case <-k.wake:
 		}
 		select {
@@ -219,15 +253,56 @@
 		case <-time.After(batchDelay):
 		}
 		for batch := k.dequeue(); len(batch) > 0; batch = k.dequeue() {
-			err := k.commit(ctx, batch)
-			if err != nil {
-				k.config.Log.Info("versions of streams were not written", "streams", len(batch), "error", err.Error())
-			}
-			for _, w := range batch {
-				w.finish(err)
-			}
+			k.write(ctx, batch)
+		}
+	}
+}
+
+// write writes records for the first time. If the write fails, it keeps them for another one.
+func (k *Keeper) write(ctx context.Context, batch []*Write) {
+	err := k.commit(ctx, batch)
+	if err != nil {
+		k.config.Log.Info("versions of streams were not written", "streams", len(batch), "error", err.Error())
+		if len(k.failed) == 0 {
+			k.scheduleRetry()
+		}
+		k.failed = append(k.failed, batch...)
+		if excess := len(k.failed) - maxQueuedWrites; excess > 0 {
+			k.config.Log.Info("versions of streams are not written any more", "streams", excess, "error", errQueueFull.Error())
+			k.failed = slices.Clone(k.failed[excess:])
 		}
 	}
+	for _, w := range batch {
+		w.finish(err)
+	}
+}
+
+// scheduleRetry sets the time of the next write of failed, and doubles the delay before the one after
+// it.
+func (k *Keeper) scheduleRetry() {
+	k.retryAt = k.config.Now().Add(k.retryDelay/2 + rand.N(k.retryDelay))
+	k.retryDelay = min(2*k.retryDelay, maxRetryDelay)
+}
+
+// retryFailed writes the records whose last write has failed, until a write fails again. It drops
+// those that are not needed any more.
+func (k *Keeper) retryFailed(ctx context.Context) {
+	now := k.config.Now()
+	k.failed = slices.DeleteFunc(k.failed, func(w *Write) bool { return !now.Before(w.expiry) })
+	written := 0
+	for len(k.failed) > 0 {
+		batch := k.failed[:min(len(k.failed), maxPutsPerCommit)]
+		if err := k.commit(ctx, batch); err != nil {
+			k.scheduleRetry()
+			return
+		}
+		k.failed = k.failed[len(batch):]
+		written += len(batch)
+	}
+	k.retryDelay = initialRetryDelay
+	if written > 0 {
+		k.config.Log.Info("versions of streams were written late", "streams", written)
+	}
 }
 
 // dequeue removes the records for one call to the store from the queue.
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -73,6 +73,11 @@
 	return keeper, s
 }
 
+// needed returns the time until which records are needed.
+func needed() time.Time {
+	return time.Now().Add(28 * time.Second)
+}
+
 func requireVersion(t *testing.T, keeper *origin.Keeper, attempt, expected string) {
 	t.Helper()
 	version, known, err := keeper.Version(t.Context(), attempt)
@@ -86,7 +91,7 @@
 		keeper, s := newKeeper(t)
 		var writes []*origin.Write
 		for i := range 100 {
-			writes = append(writes, keeper.Record(fmt.Sprint("attempt ", i), 0, "v1"))
+			writes = append(writes, keeper.Record(fmt.Sprint("attempt ", i), 0, "v1", needed()))
 		}
 		for _, w := range writes {
 			<-w.Done()
@@ -99,7 +104,7 @@
 		requireVersion(t, keeper, "attempt 9", "v1")
 		requireVersion(t, keeper, "attempt", "")
 		time.Sleep(61 * time.Second)
-		<-keeper.Record("later", 0, "v1").Done()
+		<-keeper.Record("later", 0, "v1", needed()).Done()
 		require.Equal(t, 2, s.grants, "a record must be kept for half of the TTL of a lease")
 	})
 }
@@ -109,11 +114,11 @@
 	virtual.Run(t, func(t *testing.T) {
 		keeper, s := newKeeper(t)
 		s.delays = true
-		first := keeper.Record("attempt", 0, "v1")
+		first := keeper.Record("attempt", 0, "v1", needed())
 		<-first.Done()
 		require.ErrorIs(t, first.Err(), store.ErrOutcomeUnknown)
 		s.delays = false
-		<-keeper.Record("attempt", 1, "v2").Done()
+		<-keeper.Record("attempt", 1, "v2", needed()).Done()
 		s.apply(s.delayed[0])
 		requireVersion(t, keeper, "attempt", "v2")
 	})
@@ -142,23 +147,85 @@
 		s.err = store.ErrUnavailable
 		var writes []*origin.Write
 		for i := range 2000 {
-			writes = append(writes, keeper.Record(fmt.Sprint(i), 0, "v1"))
+			writes = append(writes, keeper.Record(fmt.Sprint(i), 0, "v1", needed()))
 		}
 		for _, w := range writes {
 			<-w.Done()
 			require.Error(t, w.Err())
 		}
 		s.err = nil
-		w := keeper.Record("next", 0, "v1")
+		w := keeper.Record("next", 0, "v1", needed())
 		<-w.Done()
 		require.NoError(t, w.Err())
 	})
 }
 
+// TestRecordOfAStreamThatBeganInAnOutageIsWrittenAfterIt guards against streams that cannot be taken up
+// at another host because their record was not written while the store was away.
+func TestRecordOfAStreamThatBeganInAnOutageIsWrittenAfterIt(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		s.err = store.ErrUnavailable
+		for i := range 100 {
+			<-keeper.Record(fmt.Sprint(i), 0, "v1", needed()).Done()
+			time.Sleep(100 * time.Millisecond)
+		}
+		calls := s.grants + s.commits
+		require.LessOrEqual(t, calls, 100+100, "calls in an outage of 10 s")
+		time.Sleep(5 * time.Second)
+		require.LessOrEqual(t, s.grants+s.commits-calls, 20, "calls in 5 s of an outage without new streams")
+		s.err = nil
+		// Callers come back when the store has been sound for 3 s. New streams begin all the while.
+		for i := range 30 {
+			keeper.Record(fmt.Sprint("new ", i), 0, "v1", needed())
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := range 100 {
+			requireVersion(t, keeper, fmt.Sprint(i), "v1")
+		}
+	})
+}
+
+// TestRecordThatIsNotNeededIsNotWritten ends an outage after the time in which one of two streams can
+// be taken up.
+func TestRecordThatIsNotNeededIsNotWritten(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		s.err = store.ErrUnavailable
+		<-keeper.Record("old", 0, "v1", needed()).Done()
+		time.Sleep(15 * time.Second)
+		<-keeper.Record("new", 0, "v1", needed()).Done()
+		time.Sleep(14 * time.Second)
+		s.err = nil
+		time.Sleep(3 * time.Second)
+		requireVersion(t, keeper, "old", "")
+		requireVersion(t, keeper, "new", "v1")
+		calls := s.grants + s.commits
+		time.Sleep(time.Minute)
+		require.Equal(t, calls, s.grants+s.commits, "nothing is left to be written")
+	})
+}
+
+// TestRecordsOfALongOutageAreBounded begins more streams in an outage than records are kept for.
+func TestRecordsOfALongOutageAreBounded(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, s := newKeeper(t)
+		s.err = store.ErrUnavailable
+		for i := range 1100 {
+			<-keeper.Record(fmt.Sprint(i), 0, "v1", needed()).Done()
+		}
+		s.err = nil
+		time.Sleep(3 * time.Second)
+		require.Len(t, s.entries, 1024)
+		requireVersion(t, keeper, "75", "")
+		requireVersion(t, keeper, "1099", "v1")
+	})
+}
+
 func TestOddRecordsAreNoVersion(t *testing.T) {
 	virtual.Run(t, func(t *testing.T) {
 		keeper, s := newKeeper(t)
-		<-keeper.Record("attempt", 0, "v1").Done()
+		<-keeper.Record("attempt", 0, "v1", needed()).Done()
 		for _, entry := range slices.Collect(maps.Values(s.entries)) {
 			prefix := strings.TrimSuffix(entry.Key, "0")
 			for suffix, value := range map[string]string{"x": "v7", "": "v7", "1": "", "2": strings.Repeat("v", 300), "-3": "v7"} {
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -128,7 +128,7 @@
 	if !j.route.Resumable || j.call.LastEvent != NoEvent || m.stream.eventCount > 0 || (m.record != nil && m.recordedVersion == version) {
 		return
 	}
-	m.record = m.relay.config.Origins.Record(j.call.ID, m.records, version)
+	m.record = m.relay.config.Origins.Record(j.call.ID, m.records, version, m.relay.config.Now().Add(streamLives*j.route.Timeout))
 	m.recordedVersion = version
 	m.records++
 }
