Give up a silent stream only for another place that is held

Cause: a stream that may be resumed was cancelled after 1.5 s without an event, before another place was looked for. Without another attempt, place or retry token the response ended. Ruled out for this load: waits in a server's own queue (0 lost), long streams of sound servers (0 lost).

Change: the search for other places runs beside the silent run, and the run is cancelled only once places and retry tokens are held, an attempt is left and the rest is expected to fit into the time that is left.

--- a/pkg/relay/drain.go
+++ b/pkg/relay/drain.go
@@ -18,6 +18,8 @@
 	streamQuantile = 0.5
 	// durationMargin is the factor by which a call may take longer.
 	durationMargin = 1.25
+	// resumeDelay is the time in which another endpoint goes on with a stream.
+	resumeDelay = 500 * time.Millisecond
 	// unknownStreamDuration is the expected duration of a stream of a service without completed
 	// ones.
 	unknownStreamDuration = 5 * time.Second
@@ -95,6 +97,21 @@
 	return expected > 0 && !now.Add(expected).After(d.end)
 }
 
+// hasTimeForRest reports whether the rest of a stream of a service, a fraction of its output, is
+// expected to end in time if it goes on at another endpoint.
+func (d *drain) hasTimeForRest(now time.Time, service string, deadline time.Time, rest float64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.end.IsZero() && d.end.Before(deadline) {
+		deadline = d.end
+	}
+	expected := resumeDelay
+	if known := d.byService[service]; known != nil {
+		expected += time.Duration(rest * float64(known.expected(streamQuantile)))
+	}
+	return !now.Add(expected).After(deadline)
+}
+
 // Drain makes the Relay accept only calls that are expected to end before end, at which the calls
 // in flight are cut, and from earlyUntil on only streams whose deadline is not after end. It rejects
 // others with CauseLeaving, so that callers send them to another daemon.
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -74,6 +74,30 @@
 	return d.drain.accepts(now, service, deadline, isStream)
 }
 
+// HasTimeForRest reports whether the rest of a stream may go on at another endpoint.
+func (d *Drainer) HasTimeForRest(now time.Time, service string, deadline time.Time, rest float64) bool {
+	return d.drain.hasTimeForRest(now, service, deadline, rest)
+}
+
+// StallWatch is a stallWatch for tests.
+type StallWatch struct{ watch *stallWatch }
+
+// WatchStall returns a StallWatch whose search reports whether it has found places. release is called
+// for places that are given back.
+func WatchStall(timeout time.Duration, search func(ctx context.Context) bool, cancel, release func()) StallWatch {
+	return StallWatch{watch: watchStall(timeout, func(ctx context.Context) *places {
+		if !search(ctx) {
+			return nil
+		}
+		return &places{onRelease: release}
+	}, cancel)}
+}
+
+func (w StallWatch) Extend(timeout time.Duration) { w.watch.extend(timeout) }
+
+// Close ends the watch. It reports whether the run was cancelled for other places.
+func (w StallWatch) Close() bool { return w.watch.close() != nil }
+
 // VersionHistory is a versionHistory for tests.
 type VersionHistory struct{ history versionHistory }
 
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -69,6 +69,10 @@
 	unusableGrants int
 	// excludedEndpoint is the name of the endpoint that has just failed.
 	excludedEndpoint string
+	// held are the places of the next attempt, nil if they must be acquired. retries is the number of
+	// retry tokens that the present attempt has left.
+	held    *places
+	retries int
 	// record is the last write of the version that begins the stream, recordedVersion, and records
 	// is the number of writes.
 	record          *origin.Write
@@ -88,6 +92,7 @@
 	}
 	j.stream = &m.stream
 	defer m.freeHandle()
+	defer func() { m.held.release() }()
 	var failure error
 	for {
 		err := m.attempt(ctx)
@@ -122,7 +127,7 @@
 	return (j.route.Resumable || !j.mayHaveRun) && m.attempts < j.route.MaxAttempts
 }
 
-// attempt acquires places, uses them and releases them.
+// attempt acquires places, unless they are held, uses them and releases them.
 func (m *modelRun) attempt(ctx context.Context) error {
 	r, j := m.relay, m.job
 	now := r.config.Now()
@@ -133,14 +138,44 @@
 	if j.version != "" && !servesVersion(r.config.State(), j.service.Name, j.version) {
 		return &Fault{Cause: CauseVersionGone, RetryAfter: versionRetryAfter}
 	}
-	delivered := m.stream.deliveredTokens(j)
-	request := dispatch.Request{
+	taken := m.held
+	m.held = nil
+	if taken == nil {
+		if taken, err = m.acquirePlaces(ctx, now, verdict); err != nil {
+			return err
+		}
+	}
+	reservation := taken.reservation
+	m.retries = taken.retries
+	r.config.Log.Info("places are granted", "request_id", j.call.ID, "request", reservation.Grant.ID.String(), "prefill", reservation.Prefill.Name,
+		"decode", reservation.Decode.Name, "waited_ms", reservation.GrantedAt.Sub(now).Milliseconds(), "owner", reservation.Owner,
+		"version", j.state.Endpoints[reservation.Decode.Name].Version, "resumes", j.call.Resumes, "last_event", m.stream.lastEvent, "prompt_tokens", j.call.PromptTokens, "output_tokens", j.call.OutputTokens, "expected_tokens", j.call.ExpectedTokens)
+	outcome, err := m.runStages(ctx, reservation, taken.suspect)
+	reservation.Done(outcome)
+	r.config.Log.Info("places are released", "request_id", j.call.ID, "failed_endpoint", outcome.FailedEndpoint, "busy", outcome.Busy,
+		"events", m.stream.eventCount, "max_gap_ms", m.stream.maxGap.Milliseconds())
+	m.excludedEndpoint = outcome.FailedEndpoint
+	return err
+}
+
+// newRequest returns the request for places of an attempt after a number of delivered tokens. Its
+// prompt must be computed.
+func (m *modelRun) newRequest(now time.Time, verdict poison.Verdict, delivered int) dispatch.Request {
+	r, j := m.relay, m.job
+	return dispatch.Request{
 		ID: r.config.Client.NewRequestID(), Front: r.config.Host, Caller: j.call.Caller, Rank: m.rank,
 		PromptTokens: j.call.PromptTokens + delivered, OutputTokens: max(j.call.OutputTokens-delivered, 1),
 		ExpectedTokens: max(j.call.ExpectedTokens-delivered, 0), Prefixes: j.call.Prefixes,
-		Arrival: j.call.Arrival, Exclude: m.excludedEndpoint, Suspect: verdict == poison.VerdictSuspect,
-		Fingerprint: dispatch.Fingerprint(j.fingerprints[0]), DecodeOnly: m.isDecodeOnly(now), Zone: r.config.AvailabilityZone, Barred: r.closedEndpoints(now, j), Version: j.version, Resumed: j.isTakenUp,
+		Arrival: j.call.Arrival, Suspect: verdict == poison.VerdictSuspect,
+		Fingerprint: dispatch.Fingerprint(j.fingerprints[0]), Zone: r.config.AvailabilityZone, Barred: r.closedEndpoints(now, j), Resumed: j.isTakenUp,
 	}
+}
+
+// acquirePlaces acquires the places of the next attempt.
+func (m *modelRun) acquirePlaces(ctx context.Context, now time.Time, verdict poison.Verdict) (*places, error) {
+	r, j := m.relay, m.job
+	request := m.newRequest(now, verdict, m.stream.deliveredTokens(j, m.stream.eventCount))
+	request.Exclude, request.DecodeOnly, request.Version = m.excludedEndpoint, m.isDecodeOnly(now), j.version
 	request.Cached = m.handle.ID != ""
 	if (request.DecodeOnly && !request.Cached) || request.Version != "" {
 		// The request may be queued until a decode endpoint computes no other prompt, or until
@@ -155,17 +190,20 @@
 	}
 	reservation, err := r.acquire(ctx, j, request)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	r.config.Log.Info("places are granted", "request_id", j.call.ID, "request", request.ID.String(), "prefill", reservation.Prefill.Name,
-		"decode", reservation.Decode.Name, "waited_ms", reservation.GrantedAt.Sub(now).Milliseconds(), "owner", reservation.Owner,
-		"version", j.state.Endpoints[reservation.Decode.Name].Version, "resumes", j.call.Resumes, "last_event", m.stream.lastEvent, "prompt_tokens", j.call.PromptTokens, "output_tokens", j.call.OutputTokens, "expected_tokens", j.call.ExpectedTokens)
-	outcome, err := m.runStages(ctx, reservation, request.Suspect)
-	reservation.Done(outcome)
-	r.config.Log.Info("places are released", "request_id", j.call.ID, "failed_endpoint", outcome.FailedEndpoint, "busy", outcome.Busy,
-		"events", m.stream.eventCount, "max_gap_ms", m.stream.maxGap.Milliseconds())
-	m.excludedEndpoint = outcome.FailedEndpoint
-	return err
+	return newPlaces(reservation, request.Suspect), nil
+}
+
+// acquireSend reports whether one more send to an endpoint is allowed, and counts it if so. It uses the
+// retry tokens that the attempt has left first.
+func (m *modelRun) acquireSend(ctx context.Context) bool {
+	if m.retries > 0 {
+		m.retries--
+		m.job.budgetedSends++
+		return true
+	}
+	return m.relay.acquireSend(ctx, m.job)
 }
 
 // isDecodeOnly reports whether the next attempt needs no prefill endpoint. That is so when
@@ -299,7 +337,7 @@
 	limitedCtx, cancel := context.WithTimeoutCause(ctx, timeout, errStalled)
 	defer cancel()
 	if j.prefills > 0 || j.budgetedSends > 0 {
-		if !r.acquireSend(ctx, j) {
+		if !m.acquireSend(ctx) {
 			return dispatch.Outcome{}, errRetryBudgetExhausted
 		}
 	}
@@ -351,19 +389,16 @@
 	m.recordOrigin(endpoint.Version)
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if !r.acquireSend(ctx, j) {
+	if !m.acquireSend(ctx) {
 		return dispatch.Outcome{}, errRetryBudgetExhausted
 	}
-	stopTimer := func() bool { return true }
-	if j.route.Resumable {
-		stopTimer = time.AfterFunc(firstEventTimeout+j.route.Target/2, cancelOnStall(cancel)).Stop
-	}
 	j.sends++
 	j.endpoint = endpoint.Name
 	options := SendOptions{Source: m.handle, LastEvent: m.stream.lastEvent, Urgency: urgency, Timeout: j.deadline.Sub(r.config.Now())}
 	run := r.beginRun(j, endpoint, StageDecode, suspect)
+	watch := m.watchDecode(ctx, endpoint, cancel)
+	defer func() { m.held = watch.close() }()
 	response, err := r.send(sendCtx, endpoint, j.call, options)
-	stopTimer()
 	if err != nil {
 		if !errors.Is(err, connection.ErrNotSent) {
 			m.handle = Handle{}
@@ -393,7 +428,7 @@
 		reservation.SetOutputTokens(outputTokens())
 	}
 	m.stream.onBegin = func() error { return m.beginStream(sendCtx, endpoint.Version) }
-	err = m.stream.forward(response, r.config.Now, cancelOnStall(cancel))
+	err = m.stream.forward(response, r.config.Now, watch)
 	outcome := dispatch.Outcome{OutputTokens: outputTokens()}
 	if err == nil {
 		run.recordCompletion()
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,14 +12,6 @@
 	"github.com/turmerictide/turmerictide/pkg/connection"
 )
 
-const (
-	// firstEventTimeout and eventGapTimeout are the times without an event, before the
-	// first event and between events, after which a resumable stream continues at another
-	// endpoint. Both are well below the 2 s after which callers start to give up.
-	firstEventTimeout = 1500 * time.Millisecond
-	eventGapTimeout   = 1500 * time.Millisecond
-)
-
 // errStalled is the cancellation cause of a send whose stream has stalled, or whose prefill
 // takes too long.
 var errStalled = errors.New("stream has stalled")
@@ -29,6 +22,8 @@
 	// lastEvent is the number of the last event that was forwarded.
 	lastEvent  int64
 	eventCount int
+	// progress is eventCount for readers beside the run.
+	progress atomic.Int64
 	// heldComments are comments that came before the first event. The response to the caller
 	// begins with an event.
 	heldComments []byte
@@ -46,13 +41,9 @@
 // shows that the stream is complete if its body is complete, its events have increasing numbers,
 // and the last thing in it, but for comments, is an event that the caller does not have yet.
 // Nothing is assumed about the steps between numbers.
-// onStall is called when no event arrives in time. It must make the body fail.
-func (s *stream) forward(response *Response, now func() time.Time, onStall func()) error {
-	var timer *time.Timer
-	if s.job.route.Resumable {
-		timer = time.AfterFunc(firstEventTimeout, onStall)
-		defer timer.Stop()
-	}
+// watch is told of each event.
+func (s *stream) forward(response *Response, now func() time.Time, watch *stallWatch) error {
+	watch.extend(firstEventTimeout)
 	before, previous := s.eventCount, NoEvent
 	s.heldComments = nil
 	reader := newEventReader(response.Body)
@@ -77,9 +68,7 @@
 			return errors.Newf("event %d follows event %d: %w", e.id, previous, connection.ErrBroken)
 		}
 		previous = e.id
-		if timer != nil {
-			timer.Reset(eventGapTimeout)
-		}
+		watch.extend(eventGapTimeout)
 		if err := s.forwardEvent(response, e, now()); err != nil {
 			return err
 		}
@@ -120,6 +109,7 @@
 		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
 	}
 	s.eventCount++
+	s.progress.Store(int64(s.eventCount))
 	s.lastAt = now
 	s.onEvent()
 	return nil
@@ -128,11 +118,10 @@
 // errCallerWrite reports that a write to the caller failed.
 var errCallerWrite = errors.New("write to caller failed")
 
-// deliveredTokens returns the number of output tokens that the caller already has. The
-// next endpoint loads them into its memory together with the prompt. For the events that the
-// caller had before this call it is an estimate from their number, which may be of any size.
-func (s *stream) deliveredTokens(j *job) int {
-	events := s.eventCount
+// deliveredTokens returns the number of output tokens that the caller has after a number of events of
+// this call. The next endpoint loads them into its memory together with the prompt. For the events that
+// the caller had before this call it is an estimate from their number, which may be of any size.
+func (s *stream) deliveredTokens(j *job, events int) int {
 	if j.call.LastEvent != NoEvent {
 		events += int(min(j.call.LastEvent, int64(j.call.OutputTokens))) + 1
 	}
