Divide the retry budget by the registered daemons as well

Found by reading: a daemon that has just started divides the budget by the daemons that it has met, so by one, though it knows the others from the store. With six others and 20 failed calls it made 10 retries where its part is 7.6.

Change: the number of registered daemons counts too.

--- a/pkg/daemon/budget.go
+++ b/pkg/daemon/budget.go
@@ -39,10 +39,10 @@
 }
 
 // countPeakDaemons returns the number of daemons among which the retry budget is divided.
-// This is the largest recent number of live daemons: a daemon that is no longer reachable
-// may be partitioned and still use its part.
+// This is the largest recent number of live or registered daemons: a daemon that is no longer
+// reachable, or that this one has not met since its start, may use its part.
 func (d *PlatformDaemon) countPeakDaemons() int {
-	return d.peakDaemons.update(d.now(), d.countDaemons())
+	return d.peakDaemons.update(d.now(), max(d.countDaemons(), int(d.registeredDaemons.Load())))
 }
 
 // peakDaemonsPeriod is the time for which lost daemons still count. It is longer than
--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -68,7 +68,9 @@
 	// liveDaemons is the number of live daemons, which share the retry budgets and the
 	// connections to endpoints.
 	liveDaemons atomic.Int64
-	peakDaemons recentPeak
+	// registeredDaemons is the number of daemons with an entry in the store, which includes this one.
+	registeredDaemons atomic.Int64
+	peakDaemons       recentPeak
 	// ticketStateMu guards ticketState, the last state in the form that the dispatcher uses.
 	// It is locked during Refresh, so that an older state never replaces a newer one.
 	ticketStateMu sync.Mutex
@@ -232,7 +234,9 @@
 
 // storeChanged passes the content of the store to the services that read it.
 func (d *PlatformDaemon) storeChanged(content store.Content) {
-	d.members.SetDiscovered(d.registration.Update(content))
+	others := d.registration.Update(content)
+	d.registeredDaemons.Store(int64(len(others) + 1))
+	d.members.SetDiscovered(others)
 	d.orders.leases.ObserveEra(d.now(), content.Revision.Era())
 	d.crashRecords.Update(content)
 	d.directory.Update(content)
