Limit the heads of responses on our own interface

On our own interface a head was kept up to 10 MiB, the default of net/http; it is limited to 64 KiB now.

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -46,16 +46,22 @@
 	HeaderFencing   = "X-Fencing-Number"
 )
 
-// dialTimeout limits the time to connect to an endpoint.
-const dialTimeout = time.Second
+const (
+	// dialTimeout limits the time to connect to an endpoint.
+	dialTimeout = time.Second
+	// maxHeadBytes limits the head of a response. The default of net/http, 10 MiB, is a sixth of the
+	// memory of a small host.
+	maxHeadBytes = 64 << 10
+)
 
 // newClient returns a client that uses each connection for one request and returns
 // redirects as responses.
 func newClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableKeepAlives: true,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
