Conclude the version of a stream only from a current list of servers

Cause: a host took its list of servers for current unless a call to the store had failed.

Change: a take-up without a record reads the revision of the store and waits, 1 s at most, until the list contains the changes up to it.

The check of the pause and the guard for attempts without a name, taken out alone, turned TestOnlyVersionIsNotKnownAfterAPause and TestAttemptThatIsNotNamedHasNoVersion red.

--- a/pkg/daemon/platform.go
+++ b/pkg/daemon/platform.go
@@ -154,7 +154,7 @@
 	d.metrics = metric.NewSet(append(d.peers.gauges(), d.gauges()...))
 	d.relay = relay.New(relay.Config{
 		Host: d.self.Host, AvailabilityZone: d.self.AvailabilityZone,
-		State: d.directory.Current, IsStoreCurrent: func() bool { return !d.mirror.IsFailing() }, Client: d.client, Transport: endpoints.Transport(), Origins: d.origins,
+		State: d.directory.Current, IsStoreCurrent: func() bool { return !d.mirror.IsFailing() }, Revision: d.mirror.Revision, Client: d.client, Transport: endpoints.Transport(), Origins: d.origins,
 		Poison: d.poison, BroadcastCrashRecord: d.publishCrashRecord, RecordInterruptedRun: d.metrics.RecordInterruptedRun, Holdoffs: d.holdoffs,
 		Parts: d.parts, BroadcastPartRecord: d.broadcastPartRecord, StorePart: d.crashRecords.EnqueuePart, Limits: d.limitGate,
 		Daemons:     d.countPeakDaemons,
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -185,27 +185,31 @@
 	}
 }
 
-// Version returns the version at which an attempt began a stream, and whether it is known. The
-// error is that of the store.
-func (k *Keeper) Version(ctx context.Context, attempt string) (string, bool, error) {
+// Version returns the version at which an attempt began a stream. It is "" if the store has no record of
+// the attempt at the returned revision, as for an attempt that is not named. The error is that of the
+// store.
+func (k *Keeper) Version(ctx context.Context, attempt string) (string, store.Revision, error) {
 	key := newAttemptKey(attempt)
 	k.mu.Lock()
 	version, ok := k.remembered[key]
 	k.mu.Unlock()
-	if ok {
-		return version, true, nil
+	if ok && attempt != "" {
+		return version, 0, nil
 	}
 	if !k.allowRead(k.config.Now()) {
-		return "", false, errTooManyReads
+		return "", 0, errTooManyReads
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	prefix := RecordsPrefix + string(key) + "/"
 	listing, err := k.config.Store.List(ctx, prefix)
 	if err != nil {
-		return "", false, errors.Newf("read record of an attempt: %w", err)
+		return "", 0, errors.Newf("read record of an attempt: %w", err)
 	}
-	last := -1
+	if attempt == "" {
+		return "", listing.Revision, nil
+	}
+	last, version := -1, ""
 	for _, entry := range listing.Entries {
 		number, err := strconv.Atoi(strings.TrimPrefix(entry.Key, prefix))
 		if err != nil || number <= last || len(entry.Value) == 0 || len(entry.Value) > maxVersionBytes {
@@ -213,7 +217,7 @@
 		}
 		last, version = number, string(entry.Value)
 	}
-	return version, last >= 0, nil
+	return version, listing.Revision, nil
 }
 
 // allowRead reports whether the store may be read at now, and counts the read.
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -80,9 +80,8 @@
 
 func requireVersion(t *testing.T, keeper *origin.Keeper, attempt, expected string) {
 	t.Helper()
-	version, known, err := keeper.Version(t.Context(), attempt)
+	version, _, err := keeper.Version(t.Context(), attempt)
 	require.NoError(t, err)
-	require.Equal(t, expected != "", known)
 	require.Equal(t, expected, version)
 }
 
@@ -135,9 +134,9 @@
 		s.err = store.ErrUnavailable
 		requireVersion(t, keeper, "4999", "v2")
 		require.Zero(t, s.lists)
-		_, known, err := keeper.Version(t.Context(), "0")
+		version, _, err := keeper.Version(t.Context(), "0")
 		require.ErrorIs(t, err, store.ErrUnavailable)
-		require.False(t, known)
+		require.Empty(t, version)
 	})
 }
 
@@ -236,6 +235,16 @@
 	})
 }
 
+// TestAttemptThatIsNotNamedHasNoVersion has a stream whose caller sent no ID.
+func TestAttemptThatIsNotNamedHasNoVersion(t *testing.T) {
+	virtual.Run(t, func(t *testing.T) {
+		keeper, _ := newKeeper(t)
+		<-keeper.Record("", 0, "v1", needed()).Done()
+		keeper.Remember("", "v1")
+		requireVersion(t, keeper, "", "")
+	})
+}
+
 // TestInventedAttemptsAreReadAtALimitedRate looks up attempts that nobody has served.
 func TestInventedAttemptsAreReadAtALimitedRate(t *testing.T) {
 	virtual.Run(t, func(t *testing.T) {
--- a/pkg/relay/export_test.go
+++ b/pkg/relay/export_test.go
@@ -109,6 +109,8 @@
 
 func (v *VersionHistory) MarkStale(now time.Time) { v.history.staleAt = now }
 
+func (v *VersionHistory) Check(now time.Time, isCurrent bool) { v.history.check(now, isCurrent) }
+
 func (v *VersionHistory) Only(now time.Time, service string, period time.Duration) (string, bool) {
 	return v.history.only(now, service, period)
 }
--- a/pkg/relay/interrupted.go
+++ b/pkg/relay/interrupted.go
@@ -320,9 +320,7 @@
 		r.detectCrashes(now, state, isCurrent)
 	}
 	r.mu.Lock()
-	if !isCurrent {
-		r.versions.staleAt = now
-	}
+	r.versions.check(now, isCurrent)
 	due := r.interrupted.dueChecks(now, isCurrent)
 	r.mu.Unlock()
 	for _, endpoint := range due {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -36,6 +36,7 @@
 	"github.com/turmerictide/turmerictide/pkg/ratelimit"
 	"github.com/turmerictide/turmerictide/pkg/retry"
 	"github.com/turmerictide/turmerictide/pkg/route"
+	"github.com/turmerictide/turmerictide/pkg/store"
 )
 
 var tracer = otel.Tracer("turmerictide/relay")
@@ -136,6 +137,8 @@
 	State            func() *directory.State
 	// IsStoreCurrent reports whether State contains what the store contains now.
 	IsStoreCurrent func() bool
+	// Revision returns the revision of the store up to which State contains all changes.
+	Revision func() store.Revision
 	Client         *dispatch.Client
 	Transport      Transport
 	// Origins contains the software versions that began streams.
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmerictide/turmerictide/pkg/connection"
 	"github.com/turmerictide/turmerictide/pkg/directory"
+	"github.com/turmerictide/turmerictide/pkg/store"
 	"github.com/turmerictide/turmerictide/pkg/ticket"
 )
 
@@ -15,6 +16,14 @@
 	// recordTimeout limits the wait for the record of a stream's version after its first event has
 	// arrived. Without the record, the stream can be taken up at this host alone.
 	recordTimeout = 100 * time.Millisecond
+	// stateTimeout limits the wait for the state of this host to be as recent as the store. A host that
+	// reads its peers learns a change within a second.
+	stateTimeout = time.Second
+	// statePollInterval is the interval between checks of the state in that time.
+	statePollInterval = 10 * time.Millisecond
+	// maxCheckInterval is the interval between checks of the store's availability from which on the
+	// process was paused.
+	maxCheckInterval = time.Second
 	// versionRetryAfter is the time in which a crashed endpoint of a version is back, or a store
 	// that is away.
 	versionRetryAfter = 3 * time.Second
@@ -27,8 +36,10 @@
 // registered.
 type versionHistory struct {
 	services map[string]*serviceVersions
-	// staleAt is the last time at which the registered endpoints may not have been known.
-	staleAt time.Time
+	// staleAt is the last time at which the registered endpoints may not have been known. checkedAt is
+	// the last time at which that was checked, zero before the first.
+	staleAt   time.Time
+	checkedAt time.Time
 }
 
 type serviceVersions struct {
@@ -37,6 +48,20 @@
 	lastSeen map[string]time.Time
 }
 
+// check records whether the registered endpoints are known at now. They were not while the process was
+// paused.
+func (h *versionHistory) check(now time.Time, isCurrent bool) {
+	if !isCurrent || h.wasPaused(now) {
+		h.staleAt = now
+	}
+	h.checkedAt = now
+}
+
+// wasPaused reports whether the process was paused since the last check.
+func (h *versionHistory) wasPaused(now time.Time) bool {
+	return !h.checkedAt.IsZero() && now.Sub(h.checkedAt) > maxCheckInterval
+}
+
 // update records the registered endpoints.
 func (h *versionHistory) update(now time.Time, state *directory.State) {
 	current := map[string]map[string]bool{}
@@ -69,7 +94,7 @@
 // returns false if there may have been several.
 func (h *versionHistory) only(now time.Time, service string, period time.Duration) (string, bool) {
 	known := h.services[service]
-	if known == nil || now.Sub(known.since) < period || now.Sub(h.staleAt) < period {
+	if known == nil || h.wasPaused(now) || now.Sub(known.since) < period || now.Sub(h.staleAt) < period {
 		return "", false
 	}
 	only, count := "", 0
@@ -87,13 +112,11 @@
 // findOrigin finds the software version that began the stream which a call resumes. The error is the
 // Fault for a version that is not known: events of two versions must not be joined.
 func (r *Relay) findOrigin(ctx context.Context, j *job) error {
-	var err error
-	source, known := "record", false
-	if j.call.Resumes != "" {
-		j.version, known, err = r.config.Origins.Version(ctx, j.call.Resumes)
-		j.isTakenUp = known
-	}
-	if !known && err == nil {
+	source := "record"
+	version, revision, err := r.config.Origins.Version(ctx, j.call.Resumes)
+	j.version, j.isTakenUp = version, version != ""
+	known := j.isTakenUp
+	if !known && err == nil && r.awaitRevision(ctx, revision) {
 		source = "only version"
 		r.mu.Lock()
 		j.version, known = r.versions.only(r.config.Now(), j.service.Name, streamLives*j.route.Timeout)
@@ -111,6 +134,23 @@
 	return nil
 }
 
+// awaitRevision waits until the state contains the store's changes up to a revision, and reports whether
+// it does in time.
+func (r *Relay) awaitRevision(ctx context.Context, revision store.Revision) bool {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	ticker := time.NewTicker(statePollInterval)
+	defer ticker.Stop()
+	for r.config.Revision() < revision {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
 // servesVersion reports whether an endpoint that can stream accepts new work at a version.
 func servesVersion(state *directory.State, service, version string) bool {
 	for _, e := range state.Serving(service) {
--- a/pkg/relay/version_test.go
+++ b/pkg/relay/version_test.go
@@ -57,3 +57,32 @@
 	requireOnly(116, "")
 	requireOnly(143, "v1")
 }
+
+// TestOnlyVersionIsNotKnownAfterAPause guards against events of two versions that are joined at a host
+// which stood still while servers of another version joined and left.
+func TestOnlyVersionIsNotKnownAfterAPause(t *testing.T) {
+	const period = 28 * time.Second
+	start := time.Unix(1_800_000_000, 0)
+	at := func(second float64) time.Time { return start.Add(time.Duration(second * float64(time.Second))) }
+	history := relay.NewVersionHistory()
+	requireOnly := func(second float64, expected bool) {
+		t.Helper()
+		_, ok := history.Only(at(second), "model", period)
+		require.Equal(t, expected, ok, second)
+	}
+	history.Update(start, versionedState("v1"))
+	for second := 0.0; second <= 40; second += 0.25 {
+		history.Check(at(second), true)
+	}
+	requireOnly(40, true)
+	requireOnly(41, true)
+	requireOnly(41.1, false)
+	history.Check(at(45), true)
+	requireOnly(45, false)
+	for second := 45.25; second <= 74; second += 0.25 {
+		requireOnly(second, second >= 73)
+		history.Check(at(second), true)
+	}
+	history.Check(at(74.25), false)
+	requireOnly(74.5, false)
+}
