--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -138,9 +138,9 @@
 	// IsStoreCurrent reports whether State contains what the store contains now.
 	IsStoreCurrent func() bool
 	// Revision returns the revision of the store up to which State contains all changes.
-	Revision func() store.Revision
-	Client         *dispatch.Client
-	Transport      Transport
+	Revision  func() store.Revision
+	Client    *dispatch.Client
+	Transport Transport
 	// Origins contains the software versions that began streams.
 	Origins *origin.Keeper
 	Poison  *poison.Register
