Reset connections to endpoints whose exchange is not complete

Cause: a connection with an exchange that was given up in a cut was closed in order, so the kernel delivered the request once the cut had healed.

Change: connections to endpoints end with a reset, also when the process ends, unless they are closed in order after a complete exchange.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -107,7 +107,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
-		c.close()
+		c.closeIdle()
 	}
 }
 
@@ -137,7 +137,7 @@
 	hasClosed := !isOpen && p.closedAt[address].After(since)
 	p.mu.Unlock()
 	for _, c := range ended {
-		c.close()
+		c.closeIdle()
 	}
 	return hasClosed
 }
@@ -151,7 +151,7 @@
 	p.mu.Unlock()
 	for _, list := range idle {
 		for _, c := range list {
-			c.close()
+			c.closeIdle()
 		}
 	}
 }
@@ -175,7 +175,7 @@
 		return response, nil
 	}
 	e.stopInterrupt()
-	c.close()
+	c.reset()
 	<-e.written
 	if ctx.Err() != nil {
 		return nil, errors.Newf("await response: %w", errors.Mark(context.Cause(ctx), ErrBroken))
@@ -228,7 +228,7 @@
 			p.closedAt[address] = now
 			p.mu.Unlock()
 		}
-		c.close()
+		c.closeIdle()
 	}
 }
 
@@ -241,7 +241,7 @@
 	case p.open[address] < limit:
 		p.open[address]++
 	case p.open[address] == limit && len(idle) > 0:
-		_ = idle[0].socket.Close()
+		closeInOrder(idle[0].socket)
 		p.idle[address] = slices.Delete(idle, 0, 1)
 	default:
 		p.mu.Unlock()
@@ -291,14 +291,23 @@
 	p.mu.Lock()
 	if p.closed || len(p.idle[c.address]) >= maxIdlePerAddress {
 		p.mu.Unlock()
-		c.close()
+		c.closeIdle()
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
 	p.mu.Unlock()
 }
 
-func (c *connection) close() {
+// closeIdle closes a connection whose exchanges are complete.
+func (c *connection) closeIdle() {
+	closeInOrder(c.socket)
+	c.pool.release(c.address)
+}
+
+// reset closes a connection with an exchange that is not complete. What the endpoint has not
+// acknowledged is not sent again, so that it does not get the request after its caller has been
+// answered.
+func (c *connection) reset() {
 	_ = c.socket.Close()
 	c.pool.release(c.address)
 }
@@ -420,25 +429,29 @@
 }
 
 // Close ends the exchange. The connection becomes idle when the request was written and the
-// response was read completely, and is closed otherwise.
+// response was read completely, if the endpoint allows it, and is reset when they were not.
 func (b *Body) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
 	e, c := b.exchange, b.exchange.connection
-	uninterrupted := e.stopInterrupt()
+	uninterrupted, isWritten := e.stopInterrupt(), true
 	select {
 	case <-e.written:
 	case <-time.After(writerWaitTimeout):
 		// The endpoint responded before it had received the whole request.
-		b.reusable = false
+		isWritten = false
 	}
-	if b.complete && b.reusable && uninterrupted && e.writeErr == nil && c.reader.Buffered() == 0 && len(c.carried) < maxCarriedIDs {
+	isComplete := b.complete && uninterrupted && isWritten && e.writeErr == nil
+	switch {
+	case isComplete && b.reusable && c.reader.Buffered() == 0 && len(c.carried) < maxCarriedIDs:
 		c.usableUntil = c.pool.Now().Add(b.idleTimeout)
 		c.pool.pushIdle(c)
-		return nil
+	case isComplete:
+		c.closeIdle()
+	default:
+		c.reset()
 	}
-	c.close()
 	return nil
 }
--- a/pkg/connection/socket.go
+++ b/pkg/connection/socket.go
@@ -29,12 +29,25 @@
 	}
 }
 
+// dial opens a connection that ends with a reset. closeInOrder closes it without one.
 func dial(ctx context.Context, address netip.AddrPort) (*net.TCPConn, error) {
 	conn, err := NewDialer(dialTimeout).DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	return conn.(*net.TCPConn), nil
+	socket := conn.(*net.TCPConn)
+	// The connection ends with a reset unless it is closed in order, also when the process ends.
+	if err := socket.SetLinger(0); err != nil {
+		_ = socket.Close()
+		return nil, errors.Newf("set how a connection is closed: %w", err)
+	}
+	return socket, nil
+}
+
+// closeInOrder closes a connection after the endpoint has acknowledged everything.
+func closeInOrder(socket *net.TCPConn) {
+	_ = socket.SetLinger(-1)
+	_ = socket.Close()
 }
 
 // isReusable reports whether a connection is open and has no byte to read. An unread close
