Reuse a connection whose write has ended although the process is late

TestConnectionIsClosedWhenItsMemoryOfIDsIsFull was red once beside load: a second connection after 762 of 1,024 exchanges.

Cause: Body.Close waits for the end of the write with a timer. If the process runs on only after the timer, both cases of the select are ready, and Go chooses one at random. Change: a write that has ended is looked at first.

TestWrittenRequestIsSeenByALateProcess: red without that look, green with it.

--- /dev/null
+++ b/pkg/connection/export_test.go
@@ -0,0 +1,4 @@
+package connection
+
+// AwaitClose exports awaitClose.
+var AwaitClose = awaitClose
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -404,6 +404,22 @@
 	return defaultIdleTimeout
 }
 
+// awaitClose waits for a channel to be closed, and reports whether it is within timeout. A channel that
+// is closed at the call always is, however late the process runs on.
+func awaitClose(done <-chan struct{}, timeout time.Duration) bool {
+	select {
+	case <-done:
+		return true
+	default:
+	}
+	select {
+	case <-done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
 // Body is the body of a response.
 type Body struct {
 	exchange    *exchange
@@ -436,13 +452,8 @@
 	}
 	b.closed = true
 	e, c := b.exchange, b.exchange.connection
-	uninterrupted, isWritten := e.stopInterrupt(), true
-	select {
-	case <-e.written:
-	case <-time.After(writerWaitTimeout):
-		// The endpoint responded before it had received the whole request.
-		isWritten = false
-	}
+	// An endpoint may respond before it has received the whole request.
+	uninterrupted, isWritten := e.stopInterrupt(), awaitClose(e.written, writerWaitTimeout)
 	isComplete := b.complete && uninterrupted && isWritten && e.writeErr == nil
 	switch {
 	case isComplete && b.reusable && c.reader.Buffered() == 0 && len(c.carried) < maxCarriedIDs:
--- a/pkg/connection/reset_test.go
+++ b/pkg/connection/reset_test.go
@@ -109,3 +109,14 @@
 	close(givenUp)
 	require.Less(t, <-received, int64(length))
 }
+
+// TestWrittenRequestIsSeenByALateProcess guards against sound connections that are not reused since the
+// process runs on only when the wait for a write that has ended has timed out too.
+func TestWrittenRequestIsSeenByALateProcess(t *testing.T) {
+	done := make(chan struct{})
+	require.False(t, connection.AwaitClose(done, 0))
+	close(done)
+	for range 1000 {
+		require.True(t, connection.AwaitClose(done, 0))
+	}
+}
