--- a/pkg/connection/buffers.go
+++ b/pkg/connection/buffers.go
@@ -29,7 +29,7 @@
 const bufferChunkBytes = 16 << 10
 
 // Read reads the body of a request, of limit bytes at most. The memory is released when the
-// request's context is done. Errors wrap *http.MaxBytesError for a body over the limit,
+// request's context is done, or at once if there is not enough. Errors wrap *http.MaxBytesError for a body over the limit,
 // ErrBuffersFull, or the error of reading the body.
 func (b *Buffers) Read(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.Body == http.NoBody {
@@ -41,6 +41,9 @@
 	var content bytes.Buffer
 	for {
 		if !b.free.TryAcquire(bufferChunkBytes) {
+			// The caller may go on to read the rest, for which it needs no memory.
+			b.free.Release(acquired)
+			acquired = 0
 			return nil, errors.Newf("acquire memory for a body: %w", ErrBuffersFull)
 		}
 		acquired += bufferChunkBytes
--- a/pkg/connection/buffers_test.go
+++ b/pkg/connection/buffers_test.go
@@ -60,3 +60,13 @@
 		}
 	}
 }
+
+// TestBuffersReleaseTheMemoryOfARefusedBodyAtOnce guards against requests that are refused since others,
+// which are refused too, still hold memory while the rest of their bodies is read.
+func TestBuffersReleaseTheMemoryOfARefusedBodyAtOnce(t *testing.T) {
+	buffers := connection.NewBuffers(64 << 10)
+	_, err := readBody(t.Context(), buffers, bytes.NewReader(make([]byte, 100_000)))
+	require.True(t, errors.Is(err, connection.ErrBuffersFull))
+	_, err = readBody(t.Context(), buffers, bytes.NewReader(make([]byte, 40_000)))
+	require.NoError(t, err)
+}
