Refuse requests whose end is ambiguous in every form of their head

Cause: the guard looked for the two fields in lines that end in CR LF only, and had discarded a head that was read with the request before it.

Change: the raw head is split into lines as the HTTP server does it. A request in chunks or in HTTP/1.0 without a recorded head is refused too. A head is discarded once the body has been read.

--- a/pkg/connection/guard.go
+++ b/pkg/connection/guard.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -171,14 +173,34 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(g.Conn, lingerByteLimit))
 }
 
-// isAmbiguous reports whether the current request has both Content-Length and
-// Transfer-Encoding.
-func (g *guardedConn) isAmbiguous() bool {
+// fieldNames returns the names of the fields in the head of a request, in lower case. It returns false if
+// the head was not recorded: it was read together with the request before it.
+func (g *guardedConn) fieldNames(r *http.Request) (names []string, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	head, _, whole := bytes.Cut(g.head, headTerminator)
-	lower := bytes.ToLower(head)
-	return whole && bytes.Contains(lower, []byte("\r\ncontent-length:")) && bytes.Contains(lower, []byte("\r\ntransfer-encoding:"))
+	if !bytes.HasPrefix(g.head, []byte(r.Method+" "+r.RequestURI+" ")) {
+		return nil, false
+	}
+	// Like the HTTP server, it takes lines that end in LF alone.
+	for line := range bytes.Lines(g.head) {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return names, true
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		names = append(names, strings.ToLower(string(bytes.TrimSpace(name))))
+	}
+	return nil, false
+}
+
+// isAmbiguous reports whether the end of a request can be taken for different ones (RFC 9112, sections
+// 6.1 and 6.3). The HTTP server drops Content-Length beside chunks, and Transfer-Encoding in HTTP/1.0.
+func (g *guardedConn) isAmbiguous(r *http.Request) bool {
+	isChunked := len(r.TransferEncoding) > 0
+	if !isChunked && r.ProtoAtLeast(1, 1) {
+		return false
+	}
+	names, ok := g.fieldNames(r)
+	return !ok || slices.Contains(names, "transfer-encoding") && (!isChunked || slices.Contains(names, "content-length"))
 }
 
 // pastDeadline is a deadline that makes pending reads fail.
@@ -208,11 +230,12 @@
 	return context.WithValue(ctx, guardKey{}, conn)
 }
 
-// IsAmbiguous reports whether the request of a context has both Content-Length and
-// Transfer-Encoding. ctx must derive from GuardContext.
-func IsAmbiguous(ctx context.Context) bool {
-	g, ok := ctx.Value(guardKey{}).(*guardedConn)
-	return ok && g.isAmbiguous()
+// IsAmbiguous reports whether the end of a request can be taken for different ones, or that cannot be
+// known. The connection must be closed after the response. It must be called before the body is read, and
+// the request's context must derive from GuardContext.
+func IsAmbiguous(r *http.Request) bool {
+	g, ok := r.Context().Value(guardKey{}).(*guardedConn)
+	return ok && g.isAmbiguous(r)
 }
 
 // ResetOnClose makes the connection of a request's context end with a reset, whoever closes it and
@@ -243,8 +266,8 @@
 	return nil
 }
 
-// EndRequest discards the head of the request of a context. The handler must call it when it
-// has finished the request.
+// EndRequest discards the head of the request of a context. The handler must call it when it has read the
+// body. Bytes that are read later belong to the next request.
 func EndRequest(ctx context.Context) {
 	if g, ok := ctx.Value(guardKey{}).(*guardedConn); ok {
 		g.mu.Lock()
@@ -252,3 +275,13 @@
 		g.head = g.head[:0]
 	}
 }
+
+// EndResponse starts the timeout of a head that has begun while the request before it was served. The
+// handler must call it when it has finished the request.
+func EndResponse(ctx context.Context) {
+	if g, ok := ctx.Value(guardKey{}).(*guardedConn); ok {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.headStart = g.config.Now()
+	}
+}
--- a/pkg/connection/guard_test.go
+++ b/pkg/connection/guard_test.go
@@ -32,13 +32,15 @@
 	server := &http.Server{
 		ReadHeaderTimeout: 3 * time.Second, ConnContext: connection.GuardContext,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			defer connection.EndRequest(r.Context())
-			if connection.IsAmbiguous(r.Context()) {
+			defer connection.EndResponse(r.Context())
+			if connection.IsAmbiguous(r) {
 				w.Header().Set("Connection", "close")
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
-			_, _ = io.Copy(w, r.Body)
+			content, _ := io.ReadAll(r.Body)
+			connection.EndRequest(r.Context())
+			_, _ = w.Write(content)
 		}),
 	}
 	guard := connection.GuardConfig{
@@ -80,6 +82,56 @@
 	require.Equal(t, []int{200, 400}, sendRaw(t, address, plain, both))
 }
 
+// TestRequestInsideAnotherOneIsNotServed guards against requests that are served though they lie inside the
+// body of another one, as one of its two ends tells. statuses are those of all responses until the
+// connection is closed.
+func TestRequestInsideAnotherOneIsNotServed(t *testing.T) {
+	const inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+	const first = "POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	for name, c := range map[string]struct {
+		request  string
+		statuses []int
+	}{
+		"usual lines":             {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + inner, []int{400}},
+		"a line ends in LF":       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60\nTransfer-Encoding: chunked\r\n\r\n" + chunks + inner, []int{400}},
+		"all lines end in LF":     {"POST / HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\nContent-Length: 60\n\n" + chunks + inner, []int{400}},
+		"other cases":             {"POST / HTTP/1.1\r\nHost: h\r\ncONTENT-length: 60\r\ntransfer-ENCODING: chunked\r\n\r\n" + chunks + inner, []int{400}},
+		"folded line":             {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\nTransfer-Encoding:\r\n chunked\r\n\r\n" + chunks + inner, []int{400}},
+		"space before the colon":  {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 60\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + inner, []int{400}},
+		"behind another request":  {first + "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + inner, []int{200, 400}},
+		"HTTP/1.0 with a coding":  {"POST / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + inner, []int{400}},
+		"HTTP/1.0, both":          {"POST / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n" + inner, []int{400}},
+		"HTTP/1.0 behind another": {first + "POST / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + inner, []int{200, 400}},
+		"different lengths":       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 60\r\n\r\n" + inner, []int{400}},
+		"unknown coding":          {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n" + inner, []int{501}},
+		"chunked is not last":     {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, identity\r\n\r\n" + inner, []int{501}},
+		"repeated coding":         {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + inner, []int{501}},
+		"length with a sign":      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +0\r\n\r\n" + inner, []int{400}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := guardedServer(t, &sync.Map{})
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, c.request)
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(2*time.Second)))
+			reader := bufio.NewReader(conn)
+			var statuses []int
+			for {
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					break
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				statuses = append(statuses, response.StatusCode)
+			}
+			require.Equal(t, c.statuses, statuses)
+		})
+	}
+}
+
 func TestLateHeadIsRejectedWithResponse(t *testing.T) {
 	rejected := &sync.Map{}
 	address := guardedServer(t, rejected)
