--- a/pkg/connection/buffers.go
+++ b/pkg/connection/buffers.go
@@ -29,8 +29,8 @@
 const bufferChunkBytes = 16 << 10
 
 // Read reads the body of a request, of limit bytes at most. The memory is released when the
-// request's context is done, or at once if there is not enough. Errors wrap *http.MaxBytesError for a body over the limit,
-// ErrBuffersFull, or the error of reading the body.
+// request's context is done, or at once if there is not enough. Errors wrap *http.MaxBytesError for
+// a body over the limit, ErrBuffersFull, or the error of reading the body.
 func (b *Buffers) Read(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.Body == http.NoBody {
 		return nil, nil
