--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 
 // scriptedStore keeps records, and counts the calls.
 type scriptedStore struct {
+	// mu guards the fields in tests that use them while the Keeper makes calls.
+	mu                     sync.Mutex
 	entries                map[string]store.Entry
 	grants, commits, lists int
 	largest                int
@@ -28,6 +31,20 @@
 	delays  bool
 }
 
+// setError sets the error of all further calls.
+func (s *scriptedStore) setError(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+// countWrites returns the number of calls that grant leases and write records.
+func (s *scriptedStore) countWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grants + s.commits
+}
+
 func (s *scriptedStore) apply(c store.Commit) {
 	for _, put := range c.Puts {
 		s.entries[put.Key] = store.Entry{Key: put.Key, Value: put.Value, Revision: 1}
@@ -38,10 +55,14 @@
 	s := &scriptedStore{entries: map[string]store.Entry{}}
 	keeper := origin.NewKeeper(origin.KeeperConfig{Now: time.Now, Log: logr.Discard(), Store: &store.Store{
 		GrantLease: func(context.Context, time.Duration) (store.LeaseID, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			s.grants++
 			return store.LeaseID{Number: int64(s.grants)}, s.err
 		},
 		Commit: func(_ context.Context, c store.Commit) (store.CommitResult, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			s.commits++
 			s.largest = max(s.largest, len(c.Puts))
 			if s.delays {
@@ -54,6 +75,8 @@
 			return store.CommitResult{Succeeded: s.err == nil}, s.err
 		},
 		List: func(_ context.Context, prefix string) (store.Listing, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			s.lists++
 			var listing store.Listing
 			for key, entry := range s.entries {
@@ -164,16 +187,16 @@
 func TestRecordOfAStreamThatBeganInAnOutageIsWrittenAfterIt(t *testing.T) {
 	virtual.Run(t, func(t *testing.T) {
 		keeper, s := newKeeper(t)
-		s.err = store.ErrUnavailable
+		s.setError(store.ErrUnavailable)
 		for i := range 100 {
 			<-keeper.Record(fmt.Sprint(i), 0, "v1", needed()).Done()
 			time.Sleep(100 * time.Millisecond)
 		}
-		calls := s.grants + s.commits
+		calls := s.countWrites()
 		require.LessOrEqual(t, calls, 100+100, "calls in an outage of 10 s")
 		time.Sleep(5 * time.Second)
-		require.LessOrEqual(t, s.grants+s.commits-calls, 20, "calls in 5 s of an outage without new streams")
-		s.err = nil
+		require.LessOrEqual(t, s.countWrites()-calls, 20, "calls in 5 s of an outage without new streams")
+		s.setError(nil)
 		// Callers come back when the store has been sound for 3 s. New streams begin all the while.
 		for i := range 30 {
 			keeper.Record(fmt.Sprint("new ", i), 0, "v1", needed())
@@ -190,18 +213,18 @@
 func TestRecordThatIsNotNeededIsNotWritten(t *testing.T) {
 	virtual.Run(t, func(t *testing.T) {
 		keeper, s := newKeeper(t)
-		s.err = store.ErrUnavailable
+		s.setError(store.ErrUnavailable)
 		<-keeper.Record("old", 0, "v1", needed()).Done()
 		time.Sleep(15 * time.Second)
 		<-keeper.Record("new", 0, "v1", needed()).Done()
 		time.Sleep(14 * time.Second)
-		s.err = nil
+		s.setError(nil)
 		time.Sleep(3 * time.Second)
 		requireVersion(t, keeper, "old", "")
 		requireVersion(t, keeper, "new", "v1")
-		calls := s.grants + s.commits
+		calls := s.countWrites()
 		time.Sleep(time.Minute)
-		require.Equal(t, calls, s.grants+s.commits, "nothing is left to be written")
+		require.Equal(t, calls, s.countWrites(), "nothing is left to be written")
 	})
 }
 
@@ -209,13 +232,15 @@
 func TestRecordsOfALongOutageAreBounded(t *testing.T) {
 	virtual.Run(t, func(t *testing.T) {
 		keeper, s := newKeeper(t)
-		s.err = store.ErrUnavailable
+		s.setError(store.ErrUnavailable)
 		for i := range 1100 {
 			<-keeper.Record(fmt.Sprint(i), 0, "v1", needed()).Done()
 		}
-		s.err = nil
+		s.setError(nil)
 		time.Sleep(3 * time.Second)
+		s.mu.Lock()
 		require.Len(t, s.entries, 1024)
+		s.mu.Unlock()
 		requireVersion(t, keeper, "75", "")
 		requireVersion(t, keeper, "1099", "v1")
 	})
