--- a/review/stage2/client.go
+++ b/review/stage2/client.go
@@ -34,11 +34,18 @@
 	Attempt, Method, Host, Target, Body string
 	Header                              map[string]string
 	DeadlineMS                          int
+	// Kept keeps the channel open for further requests, and uses one that was kept if there is one.
+	Kept bool
 }
 
-var transport = &http.Transport{
-	DialContext:       (&net.Dialer{Timeout: time.Second}).DialContext,
-	DisableKeepAlives: true, DisableCompression: true,
+var transport = newTransport(false)
+var keptTransport = newTransport(true)
+
+func newTransport(kept bool) *http.Transport {
+	return &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableKeepAlives: !kept, MaxIdleConnsPerHost: 100, DisableCompression: true,
+	}
 }
 
 func open(ctx context.Context, front string, c Call) (*http.Response, error) {
@@ -54,6 +61,9 @@
 	}
 	request.Header.Set("Turmerictide-Attempt-Id", c.Attempt)
 	request.Header.Set("Turmerictide-Deadline-Ms", strconv.Itoa(c.DeadlineMS))
+	if c.Kept {
+		return keptTransport.RoundTrip(request)
+	}
 	return transport.RoundTrip(request)
 }
 
--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -48,6 +48,34 @@
 	site    *Servers
 	http    *http.Server
 	crashed bool
+	// dark is set while the server sends nothing.
+	dark bool
+}
+
+// SetDark makes the server silent: it keeps its connections and sends nothing.
+func (s *Server) SetDark(dark bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dark = dark
+}
+
+// IsDark reports whether the server is silent.
+func (s *Server) IsDark() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dark
+}
+
+// awaitLight waits while the server is dark, and reports whether the client is still there.
+func (s *Server) awaitLight(r *http.Request) bool {
+	for s.IsDark() {
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return true
 }
 
 // Servers are the servers of a site, by address.
@@ -157,6 +185,9 @@
 	if err != nil {
 		return
 	}
+	if !s.awaitLight(r) {
+		return
+	}
 	attempt := r.Header.Get("Turmerictide-Attempt-Id")
 	w.Header().Set("Turmerictide-Attempt-Id", attempt)
 	w.Header().Set("Turmerictide-Instance-Id", s.ID)
@@ -305,6 +336,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Turmerictide-Weight-Versions", "1")
 	for i := first; i < s.Events; i++ {
+		if !s.awaitLight(r) {
+			return
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d of %s at %s\n\n", i, i, run.Attempt, s.Version)
 		w.(http.Flusher).Flush()
 		select {
--- a/review/stage2/site.go
+++ b/review/stage2/site.go
@@ -65,7 +65,7 @@
 		prefix: fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250)), next: 10,
 	}
 	s.Log("trouble: %v", s.Trouble)
-	s.Store, err = StartStore(s.ip() + ":0")
+	s.Store, err = StartStore(s.NewIP() + ":0")
 	return s, err
 }
 
@@ -79,7 +79,8 @@
 // Seconds returns the time of a moment in the record.
 func (s *Stage) Seconds(at time.Time) float64 { return at.Sub(s.started).Seconds() }
 
-func (s *Stage) ip() string {
+// NewIP returns another loopback address.
+func (s *Stage) NewIP() string {
 	s.next++
 	return fmt.Sprintf("%s%d", s.prefix, s.next)
 }
@@ -96,7 +97,7 @@
 
 // AddServer starts a server and registers it.
 func (s *Stage) AddServer(server *Server) error {
-	if err := s.Servers.Start(server, s.ip()+":0"); err != nil {
+	if err := s.Servers.Start(server, s.NewIP()+":0"); err != nil {
 		return err
 	}
 	s.Store.Put("servers/"+server.ID, server.Entry("ready"))
@@ -109,7 +110,7 @@
 	var ips, seeds []string
 	var ports [][]int
 	for i := range zones {
-		ip := s.ip()
+		ip := s.NewIP()
 		var own []int
 		for range 5 {
 			port, err := FreePort(ip)
@@ -190,6 +191,16 @@
 	<-d.ended
 }
 
+// HasEnded reports whether the process of a daemon has ended.
+func (d *Daemon) HasEnded() bool {
+	select {
+	case <-d.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Logs returns what a daemon has written.
 func (d *Daemon) Logs() string {
 	text, _ := os.ReadFile(d.logs)
@@ -206,18 +217,21 @@
 	}
 }
 
+// IsReady reports whether a daemon says that it is ready.
+func (s *Stage) IsReady(d *Daemon) bool {
+	response, err := http.Get("http://" + d.Ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // AwaitReady waits until all daemons are ready.
 func (s *Stage) AwaitReady(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	for _, d := range s.Daemons {
-		for {
-			response, err := http.Get("http://" + d.Ready + "/ready")
-			if err == nil {
-				_ = response.Body.Close()
-				if response.StatusCode == http.StatusOK {
-					break
-				}
-			}
+		for !s.IsReady(d) {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s is not ready: %.300s", d.Host, d.Logs())
 			}
