Show streams that are refused when they are taken up beside crashes and a cut

Connections that were refused use up the retries of streams that no server got. Free ports are now chosen together, as one run ended with a port taken twice.

--- a/review/9/main.go
+++ b/review/stage2/cutoff/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command 9 cuts one daemon off from the store while streams of two software versions begin there, and
+// Command cutoff cuts one daemon off from the store while streams of two software versions begin there, and
 // kills that daemon. Its clients take their streams up at the other daemons, which nothing has harmed.
 package main
 
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	stage2.Main("review/9/record.txt", 110*time.Second, run)
+	stage2.Main("target/review-2/cutoff.txt", 110*time.Second, run)
 }
 
 // caller is a client with one stream.
--- a/review/stage2/site.go
+++ b/review/stage2/site.go
@@ -85,14 +85,19 @@
 	return fmt.Sprintf("%s%d", s.prefix, s.next)
 }
 
-// FreePort returns a free port on an address.
-func FreePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// FreePorts returns different free ports on an address.
+func FreePorts(ip string, count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		// They are closed together, so that no port is returned twice.
+		defer func() { _ = listener.Close() }()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // AddServer starts a server and registers it.
@@ -111,13 +116,9 @@
 	var ports [][]int
 	for i := range zones {
 		ip := s.NewIP()
-		var own []int
-		for range 5 {
-			port, err := FreePort(ip)
-			if err != nil {
-				return err
-			}
-			own = append(own, port)
+		own, err := FreePorts(ip, 5)
+		if err != nil {
+			return err
 		}
 		ips, ports = append(ips, ip), append(ports, own)
 		if i == 0 || i == 3 || i == 5 {
