--- a/review/7/main.go
+++ b/review/7/main.go
@@ -90,6 +90,7 @@
 	var results []*result
 	send := func(d *stage2.Daemon, c stage2.Call) *result {
 		r := &result{attempt: c.Attempt, kind: c.Target}
+		s.Log("%s attempt %s is sent to %s", c.Target, c.Attempt, d.Host)
 		mu.Lock()
 		results = append(results, r)
 		mu.Unlock()
@@ -148,6 +149,7 @@
 				defer group.Done()
 				c := stage2.Call{Attempt: stage2.NewAttempt(), Method: "POST", Host: stage2.HostName, Target: fmt.Sprintf("/pule252/%d", n), DeadlineMS: 1500, Body: "an order", Kept: true}
 				answer := stage2.Send(ctx, daemon.Front, c)
+				s.Log("order %d, attempt %s at %s: status %d, error %v", n, c.Attempt, daemon.Host, answer.Status, answer.Err)
 				mu.Lock()
 				defer mu.Unlock()
 				orders[c.Attempt] = answer
--- a/review/stage2/site.go
+++ b/review/stage2/site.go
@@ -243,8 +243,11 @@
 	return nil
 }
 
-// Close ends all processes and closes the record.
+// Close ends all processes, writes the runs of the servers to the record and closes it.
 func (s *Stage) Close() {
+	for _, r := range s.Servers.AllRuns() {
+		s.Log("run at %.3f: %s of %s, attempt %s, %s %s, answer lost: %v", s.Seconds(r.At), r.Server, r.Service, r.Attempt, r.Method, r.Target, r.LostAnswer)
+	}
 	for _, d := range s.Daemons {
 		if d.process == nil || d.process.Process == nil {
 			continue
