--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -36,7 +36,7 @@
 	Events int
 	Gap    time.Duration
 	// LoseAnswer reports whether the answer of a plain run is lost after it has run.
-	LoseAnswer func(attempt string) bool
+	LoseAnswer func(run Run) bool
 	// Handle handles a request in place of the rest, if it is set and returns true.
 	Handle func(w http.ResponseWriter, r *http.Request, body []byte) bool
 	OnRun  func(Run)
@@ -262,7 +262,7 @@
 		return
 	}
 	defer s.release()
-	run.LostAnswer = s.LoseAnswer != nil && s.LoseAnswer(run.Attempt)
+	run.LostAnswer = s.LoseAnswer != nil && s.LoseAnswer(run)
 	s.record(run)
 	time.Sleep(s.Work)
 	if run.LostAnswer {
