--- a/review/bed3/site.go
+++ b/review/bed3/site.go
@@ -113,6 +113,9 @@
 func freeAddress() string {
 	for range 1000 {
 		address := fmt.Sprint("127.0.0.1:", 10000+rand.IntN(20000))
+		if _, isUsed := addresses.LoadOrStore(address, true); isUsed {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
 			return address
@@ -121,6 +124,9 @@
 	return ""
 }
 
+// addresses are those that freeAddress has returned.
+var addresses sync.Map
+
 // addDaemon prepares a daemon with the settings of deploy/settings.ini.tmpl for a machine of a small site.
 func (s *site) addDaemon(host, zone string, extra ...string) (*daemon, error) {
 	d := &daemon{site: s, host: host, zone: zone, front: freeAddress(), ready: freeAddress(), metrics: freeAddress(), peer: freeAddress(), operator: freeAddress(), memory: 284}
