--- a/review/bed3/server.go
+++ b/review/bed3/server.go
@@ -47,6 +47,7 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	conns    map[net.Conn]bool
 	// answer, if set, replaces the usual answer to a request that would run.
 	answer func(w http.ResponseWriter, r *http.Request) bool
 	stop   context.CancelFunc
@@ -57,15 +58,42 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &server{site: s, id: id, service: service, stage: stage, zone: zone, version: "v1", born: time.Now().UnixMilli(), slots: 8, work: 20 * time.Millisecond, events: 10, pause: 10 * time.Millisecond, listener: l}
-	v.http = &http.Server{Handler: v}
-	go func() { _ = v.http.Serve(l) }()
+	v := &server{site: s, id: id, service: service, stage: stage, zone: zone, version: "v1", born: time.Now().UnixMilli(), slots: 8, work: 20 * time.Millisecond, events: 10, pause: 10 * time.Millisecond, listener: l, conns: map[net.Conn]bool{}}
+	v.serve()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, v)
+	return v, nil
+}
+
+// serve accepts channels and registers the server.
+func (v *server) serve() {
+	v.http = &http.Server{Handler: v, ConnState: func(c net.Conn, state http.ConnState) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if state == http.StateClosed {
+			delete(v.conns, c)
+		} else {
+			v.conns[c] = true
+		}
+	}}
+	go func() { _ = v.http.Serve(v.listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	v.report("ready")
 	go v.beat(ctx)
-	s.servers = append(s.servers, v)
-	return v, nil
+}
+
+// restart starts a crashed server again under its ID and address.
+func (v *server) restart() error {
+	l, err := net.Listen("tcp", v.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	v.listener, v.born = l, time.Now().UnixMilli()
+	v.sequence.Store(0)
+	v.serve()
+	return nil
 }
 
 // beat renews the entry as a server does, whose entry changes with each report.
--- a/review/bed3/site.go
+++ b/review/bed3/site.go
@@ -33,6 +33,8 @@
 	limits  map[string]any
 	tenants []any
 
+	// mu guards servers.
+	mu       sync.Mutex
 	recordMu sync.Mutex
 	record   *os.File
 	start    time.Time
