--- a/review/bed3/site.go
+++ b/review/bed3/site.go
@@ -114,7 +114,7 @@
 // freeAddress returns an address that nobody listens at, outside the ports that the system gives to connections.
 func freeAddress() string {
 	for range 1000 {
-		address := fmt.Sprint("127.0.0.1:", 10000+rand.IntN(20000))
+		address := fmt.Sprint(loopback, ":", 10000+rand.IntN(20000))
 		if _, isUsed := addresses.LoadOrStore(address, true); isUsed {
 			continue
 		}
@@ -126,6 +126,9 @@
 	return ""
 }
 
+// loopback is the loopback address of this run, so that runs beside each other don't meet.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // addresses are those that freeAddress has returned.
 var addresses sync.Map
 
